--- /dev/null
+++ b/include/waxwingfall/call/routing.h
@@ -0,0 +1,93 @@
+#ifndef WAXWINGFALL_CALL_ROUTING_H
+#define WAXWINGFALL_CALL_ROUTING_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "waxwingfall/support/random_source.h"
+#include "waxwingfall/support/time.h"
+#include "waxwingfall/zone/membership.h"
+
+namespace waxwingfall {
+
+/// How an endpoint is picked; the second is the baseline of the measurements.
+enum class pick_rule : std::uint8_t { two_choices, round_robin };
+
+/// Settings of routing.
+struct routing_policy {
+    pick_rule rule = pick_rule::two_choices;
+    std::uint32_t failures_to_eject = 3;      ///< in a row
+    milliseconds eject_time{2000};            ///< times the number of ejections in a row, up to ten
+    std::uint32_t healthy_floor_percent = 50; ///< below which ejections in a data centre are not heeded
+    milliseconds slow_start{10000};           ///< over which a new endpoint reaches its full share
+    milliseconds load_lifetime{2000};         ///< after which a reported load is not believed
+    milliseconds refusal_pause{100};          ///< for which an endpoint that refused is passed over
+    double spill_load = 0.9;                  ///< load per slot from which other data centres are used as well
+    auto operator<=>(const routing_policy&) const = default;
+};
+
+/// What this node has seen of one endpoint.
+struct endpoint {
+    member_id id = 0;
+    std::string data_centre;
+    std::string region;
+    std::string address;
+    std::uint32_t slots = 1;
+    bool suspect = false;
+    time_point first_seen;
+    std::uint32_t in_flight = 0;   ///< of this node
+    double reported_load = 0;      ///< running and waiting requests, carried back by answers
+    time_point reported_at;
+    std::uint32_t failures = 0;    ///< in a row
+    std::uint32_t ejections = 0;   ///< in a row
+    time_point ejected_until;
+    time_point refused_until;
+};
+
+/// The endpoints of each service, as far as they may take new work.
+struct routing_table {
+    routing_policy policy;
+    std::map<std::string, std::map<member_id, endpoint>> services;
+    std::map<std::string, std::uint64_t> turns; ///< of the round robin rule
+    std::string data_centre; ///< of this node
+    std::string region;
+};
+
+/// How a try at an endpoint ended.
+enum class try_result : std::uint8_t { answered, refused, failed, cancelled };
+
+/// Takes in a change of membership. Nodes that leave or are dead lose their endpoint at once.
+void update_endpoint(routing_table& table, const member& now_known, time_point now);
+
+/// Picks the endpoint with the lower load out of two drawn at random from the nearest data centres that have
+/// capacity. Endpoints in `tried` are passed over while there are others. Returns nothing if the service has none.
+std::optional<member_id> pick_endpoint(routing_table& table, const std::string& service,
+                                       const std::vector<member_id>& tried, time_point now, random_source& random);
+
+/// Notes that a try starts at or has ended at an endpoint.
+void begin_try(routing_table& table, const std::string& service, member_id id);
+void end_try(routing_table& table, const std::string& service, member_id id, try_result result,
+             std::optional<double> reported_load, time_point now);
+
+/// The address of an endpoint's node for calls, or an empty text.
+std::string endpoint_address(const routing_table& table, const std::string& service, member_id id);
+
+/// Tokens that pay for retries: each first try earns a share of one, so that retries stay a bounded part of
+/// the calls however many fail.
+struct retry_budget {
+    double tokens = 10;
+    double limit = 10;
+};
+
+/// Earns `percent` hundredths of a token for a first try.
+void earn_retry(retry_budget& budget, std::uint32_t percent);
+
+/// Takes one token; false if there is none.
+bool spend_retry(retry_budget& budget);
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/include/waxwingfall/link/event_loop.h
@@ -0,0 +1,66 @@
+#ifndef WAXWINGFALL_LINK_EVENT_LOOP_H
+#define WAXWINGFALL_LINK_EVENT_LOOP_H
+
+#include <functional>
+#include <memory>
+
+#include <event2/event.h>
+
+#include "waxwingfall/support/time.h"
+
+namespace waxwingfall {
+
+/// The one loop of a process. Everything below runs on the thread that calls `run`.
+class event_loop {
+public:
+    event_loop();
+    event_base* base() const { return base_.get(); }
+
+    /// Runs until `stop`.
+    void run();
+
+    /// Runs until `stop` or until `limit` has passed; true if it was stopped.
+    bool run_for(milliseconds limit);
+
+    void stop();
+
+private:
+    struct base_deleter {
+        void operator()(event_base* base) const { event_base_free(base); }
+    };
+    std::unique_ptr<event_base, base_deleter> base_;
+    bool stopped_ = false;
+};
+
+/// A callback on the loop: after a delay once, again and again, for a signal, or when a descriptor is readable.
+/// Destroying it ends the callbacks.
+class loop_event {
+public:
+    loop_event() = default;
+
+    static loop_event every(const event_loop& loop, milliseconds period, std::function<void()> action);
+    static loop_event after(const event_loop& loop, milliseconds delay, std::function<void()> action);
+    static loop_event on_signal(const event_loop& loop, int signal, std::function<void()> action);
+    static loop_event on_readable(const event_loop& loop, int descriptor, std::function<void()> action);
+
+private:
+    struct state;
+    struct state_deleter {
+        void operator()(state* value) const;
+    };
+    static loop_event make(const event_loop& loop, int descriptor, short flags, const milliseconds* delay,
+                           std::function<void()> action);
+    std::unique_ptr<state, state_deleter> state_;
+};
+
+/// The present monotonic time, for passing into functions that decide.
+inline time_point monotonic_now() {
+    return std::chrono::steady_clock::now();
+}
+
+/// The present wall-clock time, for keys and records that leave the process.
+wall_ms wall_now();
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/include/waxwingfall/machine/admin.h
@@ -0,0 +1,41 @@
+#ifndef WAXWINGFALL_MACHINE_ADMIN_H
+#define WAXWINGFALL_MACHINE_ADMIN_H
+
+#include <functional>
+#include <string>
+
+#include "waxwingfall/link/http.h"
+#include "waxwingfall/machine/node_context.h"
+
+namespace waxwingfall {
+
+/// What the admin pages show beside the shared state.
+struct admin_view {
+    std::function<std::size_t()> open_calls;
+    std::function<std::size_t()> open_requests;
+    std::function<bool()> platform_reachable;
+    std::function<bool()> worker_healthy;
+};
+
+/// Serves /status (JSON) and /metrics (Prometheus text) on the node's own loop.
+class admin_server {
+public:
+    admin_server(const node_context& node, admin_view view);
+
+    /// The body of /status.
+    std::string status_text() const;
+
+    /// The body of /metrics.
+    std::string metrics_text() const;
+
+private:
+    void receive(evhttp_request* request) const;
+
+    const node_context& node_;
+    admin_view view_;
+    http_server server_;
+};
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/include/waxwingfall/machine/call_headers.h
@@ -0,0 +1,58 @@
+#ifndef WAXWINGFALL_MACHINE_CALL_HEADERS_H
+#define WAXWINGFALL_MACHINE_CALL_HEADERS_H
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "waxwingfall/link/http.h"
+#include "waxwingfall/support/error.h"
+#include "waxwingfall/support/time.h"
+
+namespace waxwingfall {
+
+/// Headers that callers and workers use; docs/calls.md describes each.
+namespace call_header {
+inline constexpr const char* idempotency_key = "Idempotency-Key";
+inline constexpr const char* deadline_ms = "X-Deadline-Ms";       ///< what is left for the call, in milliseconds
+inline constexpr const char* retry_attempt = "X-Retry-Attempt";   ///< over 0 inside a call that is itself a retry
+inline constexpr const char* not_run = "X-Not-Run";               ///< a worker's promise that it ran nothing
+inline constexpr const char* outcome = "X-Waxwingfall-Outcome";   ///< done, not-run or unknown
+inline constexpr const char* reason = "X-Waxwingfall-Reason";     ///< the name of an error kind
+inline constexpr const char* load = "X-Waxwingfall-Load";         ///< between nodes: running and waiting requests
+inline constexpr const char* replayed = "X-Waxwingfall-Replayed"; ///< the answer of an earlier run
+inline constexpr const char* version = "X-Waxwingfall-Version";   ///< the document that was in force
+} // namespace call_header
+
+/// A request as it was received, in the form in which it is sent on.
+struct received_request {
+    http_request request; ///< with the caller's headers but those of one hop and those that nodes set
+    std::string method;
+    std::string host;
+    std::string path; ///< without the query
+    std::string fingerprint; ///< digest of method, path with query, and body
+    auto operator<=>(const received_request&) const = default;
+};
+
+/// Reads a request that evhttp has received whole. Returns the kind of fault if it is malformed: no host, two
+/// lengths, an unknown method, or a target that is no path.
+std::optional<error_kind> read_request(evhttp_request* raw, received_request& out);
+
+/// The deadline that a request carries, at most `limit` after `now`; a malformed value counts as none.
+time_point read_deadline(const std::vector<http_header>& headers, milliseconds limit, time_point now);
+
+/// Headers of an answer that this node gives itself.
+std::vector<http_header> error_headers(error_kind kind);
+
+/// The body of such an answer: one line of JSON with outcome, kind and text.
+std::string error_body(error_kind kind);
+
+/// Headers of a worker's answer that may be passed on, without those that nodes set.
+std::vector<http_header> passable_headers(const std::vector<http_header>& headers);
+
+/// Replaces or adds a header.
+void set_header(std::vector<http_header>& headers, std::string_view name, std::string value);
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/include/waxwingfall/machine/call_proxy.h
@@ -0,0 +1,65 @@
+#ifndef WAXWINGFALL_MACHINE_CALL_PROXY_H
+#define WAXWINGFALL_MACHINE_CALL_PROXY_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "waxwingfall/call/routing.h"
+#include "waxwingfall/machine/call_headers.h"
+#include "waxwingfall/machine/downstream.h"
+#include "waxwingfall/machine/node_context.h"
+#include "waxwingfall/machine/upstream.h"
+
+namespace waxwingfall {
+
+/// The side of a node that callers talk to: finds the route, claims the idempotency key of a non-idempotent
+/// request, picks a worker, tries again where that is safe, and gives each caller the whole answer or an
+/// honest outcome.
+class call_proxy {
+public:
+    explicit call_proxy(node_context& node);
+    ~call_proxy();
+    call_proxy(const call_proxy&) = delete;
+    call_proxy& operator=(const call_proxy&) = delete;
+
+    /// Takes in the verdicts that the node's claims have reached.
+    void handle_claims(const claimant_effects& effects);
+
+    std::size_t open_calls() const { return calls_.size(); }
+    std::size_t open_connections() const { return workers_.open_connections(); }
+    void stop_accepting() { server_.stop_accepting(); }
+
+private:
+    struct call;
+    void receive(evhttp_request* raw);
+    void start(std::uint64_t id);
+    void claim(std::uint64_t id);
+    void try_next(std::uint64_t id);
+    void on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers);
+    void on_data(std::uint64_t id, evbuffer* data);
+    void on_end(std::uint64_t id, upstream_end end);
+    void on_refused(std::uint64_t id);
+    void finish(std::uint64_t id);
+    void fail(std::uint64_t id, error_kind kind);
+    void replay(std::uint64_t id, const ledger_record& record);
+    void settle(call& settled, std::uint32_t state);
+    void remove(std::uint64_t id);
+    void sweep();
+    bool may_retry(call& failed, time_point now);
+
+    node_context& node_;
+    upstream_pool workers_;
+    std::map<std::uint64_t, std::unique_ptr<call>> calls_;
+    std::map<std::uint64_t, std::uint64_t> call_of_attempt_;
+    std::map<std::string, struct retry_budget> budgets_; ///< by service
+    std::uint64_t next_id_ = 1;
+    http_server server_;
+    loop_event sweep_;
+};
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/include/waxwingfall/machine/node_context.h
@@ -0,0 +1,71 @@
+#ifndef WAXWINGFALL_MACHINE_NODE_CONTEXT_H
+#define WAXWINGFALL_MACHINE_NODE_CONTEXT_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "waxwingfall/call/claimant.h"
+#include "waxwingfall/call/ledger.h"
+#include "waxwingfall/call/quarantine.h"
+#include "waxwingfall/call/routing.h"
+#include "waxwingfall/contract/document.h"
+#include "waxwingfall/link/event_loop.h"
+#include "waxwingfall/link/message_link.h"
+#include "waxwingfall/machine/settings.h"
+#include "waxwingfall/support/event_log.h"
+#include "waxwingfall/support/random_source.h"
+#include "waxwingfall/zone/zone.h"
+
+namespace waxwingfall {
+
+/// Counts of the call path since the start.
+struct call_counts {
+    std::uint64_t received = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t tries = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t retries_denied = 0; ///< the budget was spent
+    std::uint64_t replayed = 0;
+    std::uint64_t admitted = 0;
+    std::uint64_t refused_by_gate = 0;
+    std::uint64_t caller_gone = 0;
+    auto operator<=>(const call_counts&) const = default;
+};
+
+/// Everything that the parts of one node share. All of them run on the one loop.
+struct node_context {
+    node_context(const event_loop& event_loop, const node_settings& node_settings, event_log& events,
+                 std::uint64_t seed);
+
+    const event_loop& loop;
+    const node_settings& settings;
+    event_log& log;
+    random_source random;
+    zone control;
+    routing_table routing;
+    ledger records;
+    claimant claims;
+    quarantine crashes;
+    std::shared_ptr<const contract> in_force; ///< null until a document is enforced
+    std::uint64_t version = 0;
+    call_counts counts;
+    std::unique_ptr<message_link> link;
+    bool leaving = false;
+};
+
+/// The member record of a node by its settings.
+member self_record(const node_settings& settings);
+
+/// Sends messages to other nodes, with the environment, the sender and the clock filled in.
+void send_all(node_context& node, std::vector<outgoing> messages);
+
+/// Notes a crash of a worker under a request, tells the other nodes if it was not known, and logs it.
+void spread_crash(node_context& node, const std::string& fingerprint, member_id worker, time_point now);
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/include/waxwingfall/machine/settings.h
@@ -0,0 +1,53 @@
+#ifndef WAXWINGFALL_MACHINE_SETTINGS_H
+#define WAXWINGFALL_MACHINE_SETTINGS_H
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/leaf/result.hpp>
+
+#include "waxwingfall/call/ledger_map.h"
+#include "waxwingfall/call/routing.h"
+#include "waxwingfall/link/address.h"
+#include "waxwingfall/support/error.h"
+#include "waxwingfall/zone/zone.h"
+
+namespace waxwingfall {
+
+/// The settings of one node. docs/settings.md is the reference.
+struct node_settings {
+    std::string name;
+    std::string data_centre;
+    std::string region;
+    std::string environment;
+    ip_address calls;   ///< where callers send requests
+    ip_address inbound; ///< where other nodes send requests for the worker
+    ip_address control; ///< for messages between nodes
+    ip_address admin;   ///< /status and /metrics
+    std::string service;
+    ip_address worker;
+    std::uint32_t slots = 1;
+    std::uint32_t connections = 110;       ///< to the worker
+    milliseconds probe_period{1000};       ///< between health probes of the worker
+    ip_address platform;
+    std::vector<std::string> peers; ///< control addresses to try at the start
+    std::string log_path;
+    std::uint32_t max_body_bytes = 1'048'576;
+    std::uint32_t max_header_bytes = 16'384;
+    milliseconds caller_timeout{10'000};   ///< for a caller to send its request or to take its answer
+    milliseconds leave_notice{2000};       ///< after the notice that it leaves, a node still admits work for so long
+    milliseconds leave_timeout{30'000};    ///< after which a leaving node stops, whatever is still running
+    bool retry_budget = true;              ///< off lets every failed try be repeated, the baseline of the measurements
+    zone_policy zone;
+    routing_policy routing;
+    ledger_map_policy ledger_map;
+    auto operator<=>(const node_settings&) const = default;
+};
+
+/// Parses and checks a settings file. On failure the LEAF error carries a `fault_list` with every fault.
+boost::leaf::result<node_settings> parse_settings(std::string_view text, const std::string& file);
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/include/waxwingfall/machine/worker_gate.h
@@ -0,0 +1,69 @@
+#ifndef WAXWINGFALL_MACHINE_WORKER_GATE_H
+#define WAXWINGFALL_MACHINE_WORKER_GATE_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "waxwingfall/call/admission.h"
+#include "waxwingfall/machine/call_headers.h"
+#include "waxwingfall/machine/downstream.h"
+#include "waxwingfall/machine/node_context.h"
+#include "waxwingfall/machine/upstream.h"
+
+namespace waxwingfall {
+
+/// The inbound side of a node: admits requests for the worker beside it, passes them on, and watches over the
+/// worker's health. Each refusal by the gate proves that the request did not run.
+class worker_gate {
+public:
+    explicit worker_gate(node_context& node);
+    ~worker_gate();
+    worker_gate(const worker_gate&) = delete;
+    worker_gate& operator=(const worker_gate&) = delete;
+
+    /// Requests that run or wait.
+    std::size_t open_requests() const { return requests_.size(); }
+
+    /// Refuses new work from now on.
+    void close() { admission_.leaving = true; }
+
+    double load() const { return load_of(admission_); }
+    bool worker_is_healthy() const { return healthy_; }
+
+private:
+    struct request;
+    void receive(evhttp_request* raw);
+    void run(std::uint64_t id);
+    void apply(const admission_turn& turn);
+    void on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers);
+    void on_data(std::uint64_t id, evbuffer* data);
+    void on_end(std::uint64_t id, upstream_end end);
+    void refuse(std::uint64_t id, error_kind kind);
+    void fail(std::uint64_t id, error_kind kind);
+    void remove(std::uint64_t id);
+    void sweep();
+    void probe_worker();
+    void note_probe(const http_answer& answer);
+    void set_health(bool healthy, const std::string& why);
+    void follow_contract();
+    std::vector<http_header> with_load(std::vector<http_header> headers) const;
+
+    node_context& node_;
+    admission admission_;
+    upstream_pool worker_;
+    std::map<std::uint64_t, std::unique_ptr<request>> requests_;
+    std::uint64_t next_id_ = 1;
+    bool healthy_ = true;
+    std::uint32_t failed_probes_ = 0;
+    std::vector<std::string> broken_fingerprints_; ///< of requests whose connection broke since the last probe
+    http_server server_;
+    loop_event sweep_;
+    loop_event probe_;
+};
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/include/waxwingfall/platform/store_client.h
@@ -0,0 +1,72 @@
+#ifndef WAXWINGFALL_PLATFORM_STORE_CLIENT_H
+#define WAXWINGFALL_PLATFORM_STORE_CLIENT_H
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "waxwingfall/link/address.h"
+#include "waxwingfall/link/event_loop.h"
+
+namespace waxwingfall {
+
+/// How a call to the platform's key-value service ended.
+enum class store_status {
+    ok,
+    absent,     ///< the key or the lease does not exist
+    conflict,   ///< the key has another revision than the expected one
+    unchanged,  ///< a watch ended without a change
+    not_reached, ///< nothing was sent, or the service refused; nothing took effect
+    unknown     ///< no answer came; a write may have taken effect
+};
+
+/// A value with the revision that a compare-and-swap names. Revision 0 stands for an absent key.
+struct stored_value {
+    std::string key;
+    std::string bytes;
+    std::uint64_t revision = 0;
+    auto operator<=>(const stored_value&) const = default;
+};
+
+/// The answer to a call.
+struct store_answer {
+    store_status status = store_status::not_reached;
+    stored_value value;               ///< of `read`, `watch` and `write`
+    std::vector<stored_value> listed; ///< of `list`
+    std::string lease;                ///< of `grant_lease`
+};
+
+using store_callback = std::function<void(const store_answer&)>;
+
+/// Calls to the platform's key-value service over HTTP; docs/platform.md describes the protocol. Each call has its own connection, so
+/// that one gone silent costs one call's timeout.
+struct store_client {
+    const event_loop* loop = nullptr;
+    ip_address address;
+    milliseconds timeout{2000};
+};
+
+void read_value(const store_client& client, const std::string& key, store_callback done);
+
+/// Reads all keys that start with `prefix`.
+void list_values(const store_client& client, const std::string& prefix, store_callback done);
+
+/// Waits up to `wait` until the key has another revision than `known`.
+void watch_value(const store_client& client, const std::string& key, std::uint64_t known, milliseconds wait,
+                 store_callback done);
+
+/// Writes the key if its revision is `expected`. With a lease, the key disappears when the lease lapses.
+void write_value(const store_client& client, const std::string& key, std::uint64_t expected, const std::string& bytes,
+                 const std::string& lease, store_callback done);
+
+/// Writes the key whatever its revision.
+void overwrite_value(const store_client& client, const std::string& key, const std::string& bytes,
+                     const std::string& lease, store_callback done);
+
+void grant_lease(const store_client& client, milliseconds lifetime, store_callback done);
+void renew_lease(const store_client& client, const std::string& lease, store_callback done);
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/include/waxwingfall/support/event_log.h
@@ -0,0 +1,86 @@
+#ifndef WAXWINGFALL_SUPPORT_EVENT_LOG_H
+#define WAXWINGFALL_SUPPORT_EVENT_LOG_H
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "waxwingfall/support/hybrid_clock.h"
+
+namespace waxwingfall {
+
+/// The numbered events of the log. docs/events.md has one line for each, and a test compares the two.
+enum class event_id : std::uint16_t {
+    node_started = 100,
+    node_leaving = 101,
+    node_stopped = 102,
+    process_paused = 103,
+    member_joined = 200,
+    member_suspected = 201,
+    member_left = 202,
+    member_died = 203,
+    member_returned = 204,
+    name_taken = 205,
+    frame_refused = 206,
+    contract_enforced = 300,
+    contract_refused = 301,
+    version_conflict = 302,
+    platform_reachable = 310,
+    platform_unreachable = 311,
+    platform_went_back = 312,
+    reader_started = 313,
+    reader_stopped = 314,
+    ledger_map_adopted = 400,
+    ledger_owner_replaced = 401,
+    worker_crashed = 500,
+    request_quarantined = 501,
+    worker_health_changed = 502,
+    call_refused = 510,
+    call_unknown = 511,
+    version_accepted = 600,
+    proposal_refused = 601,
+};
+
+/// One row of the catalogue.
+struct event_row {
+    event_id id;
+    std::string_view name;
+    std::string_view level; ///< "info", "warn" or "error"
+};
+
+/// The whole catalogue in the order of numbers.
+std::span<const event_row> event_catalogue();
+
+/// A named value of an event.
+struct event_field {
+    std::string name;
+    std::string value;
+    auto operator<=>(const event_field&) const = default;
+};
+
+/// Writes events as one JSON object a line: {"time":MS,"clock":N,"process":"...","event":N,"name":"...",
+/// "level":"...", then the fields as texts}. Lines go to standard error, or to `path` if it is not empty.
+class event_log {
+public:
+    event_log(std::string process, const std::string& path);
+
+    /// Writes one event at wall-clock time `now`.
+    void write(event_id id, wall_ms now, const std::vector<event_field>& fields);
+
+    /// The clock that orders this process's events among those of others.
+    hybrid_clock& clock() { return clock_; }
+
+private:
+    std::string process_;
+    hybrid_clock clock_;
+};
+
+/// The line that `event_log` writes.
+std::string format_event(const event_row& row, std::string_view process, wall_ms now, std::uint64_t clock,
+                         const std::vector<event_field>& fields);
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/lib/call/ledger.cpp
@@ -0,0 +1,371 @@
+#include "waxwingfall/call/ledger.h"
+
+#include <algorithm>
+
+namespace waxwingfall {
+
+namespace {
+
+std::string address_of(const membership& nodes, member_id id) {
+    const auto known = nodes.members.find(id);
+    return known == nodes.members.end() ? std::string() : known->second.control_address;
+}
+
+outgoing claim_answer(const std::string& reply_to, std::uint64_t attempt, claim_verdict verdict,
+                      const ledger_record* existing = nullptr) {
+    outgoing message;
+    message.address = reply_to;
+    wire::claim_answer& answer = *message.frame.mutable_claim_answer();
+    answer.set_attempt(attempt);
+    answer.set_verdict(static_cast<std::uint32_t>(verdict));
+    if (existing != nullptr) {
+        *answer.mutable_existing() = to_wire(*existing);
+    }
+    return message;
+}
+
+wall_ms key_time(const std::string& key) {
+    wall_ms made = 0;
+    for (std::size_t index = 0; index < 6 && index < key.size(); ++index) {
+        made = (made << 8U) | static_cast<unsigned char>(key[index]);
+    }
+    return made;
+}
+
+void put_record(ledger& state, ledger_shard& shard, const ledger_record& record) {
+    const auto known = shard.records.find(record.key);
+    if (known != shard.records.end()) {
+        state.answer_bytes -= known->second.answer.size();
+    } else {
+        state.record_count += 1;
+    }
+    ledger_record kept = record;
+    const bool fits = kept.answer.size() <= state.policy.max_answer_bytes &&
+                      state.answer_bytes + kept.answer.size() <= state.policy.max_all_answer_bytes;
+    if (!fits) {
+        kept.answer.clear();
+        kept.answer_kept = false;
+    }
+    state.answer_bytes += kept.answer.size();
+    shard.records.insert_or_assign(kept.key, std::move(kept));
+}
+
+void erase_record(ledger& state, ledger_shard& shard, const std::string& key) {
+    const auto known = shard.records.find(key);
+    if (known == shard.records.end()) {
+        return;
+    }
+    state.answer_bytes -= known->second.answer.size();
+    state.record_count -= 1;
+    shard.records.erase(known);
+}
+
+/// A message to the backup of a shard; the caller adds the records.
+outgoing to_backup(std::uint32_t index, ledger_shard& shard, const membership& nodes) {
+    outgoing message;
+    message.address = address_of(nodes, shard.owners.backup);
+    wire::replicate& replicate = *message.frame.mutable_replicate();
+    replicate.set_shard(index);
+    replicate.set_epoch(shard.owners.epoch);
+    replicate.set_sequence(shard.next_sequence++);
+    replicate.set_amnesia_before_ms(shard.amnesia_before);
+    return message;
+}
+
+/// Sends all records of a shard to its new backup, in parts.
+void transfer(const ledger& state, std::uint32_t index, ledger_shard& shard, const membership& nodes, time_point now,
+              std::vector<outgoing>& messages) {
+    shard.next_transfer = now + state.policy.transfer_period;
+    const std::uint64_t first = shard.next_sequence;
+    const auto new_part = [&] {
+        outgoing made = to_backup(index, shard, nodes);
+        made.frame.mutable_replicate()->set_transfer_first(first);
+        return made;
+    };
+    outgoing part = new_part();
+    std::size_t in_part = 0;
+    for (const auto& [key, record] : shard.records) {
+        if (in_part == state.policy.transfer_records) {
+            messages.push_back(std::move(part));
+            part = new_part();
+            in_part = 0;
+        }
+        *part.frame.mutable_replicate()->add_records() = to_wire(record);
+        ++in_part;
+    }
+    part.frame.mutable_replicate()->set_transfer_complete(true);
+    shard.transfer_sequence = part.frame.replicate().sequence();
+    messages.push_back(std::move(part));
+}
+
+claim_verdict verdict_on_record(const ledger_record& record, const wire::claim& claim) {
+    if (record.fingerprint != claim.fingerprint()) {
+        return claim_verdict::key_reused;
+    }
+    switch (record.state) {
+    case record_state::claimed:
+        return claim_verdict::running;
+    case record_state::done:
+        return claim_verdict::done;
+    case record_state::unknown:
+        return claim_verdict::unknown;
+    }
+    return claim_verdict::unknown;
+}
+
+void forget_records(ledger& state, ledger_shard& shard) {
+    for (const auto& [key, record] : shard.records) {
+        state.answer_bytes -= record.answer.size();
+    }
+    state.record_count -= shard.records.size();
+    shard.records.clear();
+    shard.complete = false;
+}
+
+void become_primary(const ledger& state, ledger_shard& shard, const ledger_zone& zone, time_point now,
+                    wall_ms wall_now) {
+    if (shard.complete) {
+        return;
+    }
+    shard.complete = true;
+    if (wall_now < zone.born) {
+        return;
+    }
+    shard.held_until = now + state.policy.takeover_delay;
+    const auto waited = state.policy.takeover_delay + state.policy.amnesia_margin;
+    shard.amnesia_before = wall_now + static_cast<wall_ms>(waited.count());
+}
+
+void adopt_shard(ledger& state, std::uint32_t index, const ledger_zone& zone, const shard_owners& owners,
+                 member_id self, time_point now, wall_ms wall_now) {
+    const bool owned = owners.primary == self || owners.backup == self;
+    if (!owned && !state.shards.contains(index)) {
+        return;
+    }
+    ledger_shard& shard = state.shards[index];
+    if (shard.owners.epoch > owners.epoch || shard.owners == owners) {
+        return;
+    }
+    shard.owners = owners;
+    shard.is_primary = owners.primary == self;
+    shard.ready = false;
+    shard.grants.clear();
+    shard.next_transfer = now;
+    if (!owned) {
+        forget_records(state, shard);
+    } else if (shard.is_primary) {
+        become_primary(state, shard, zone, now, wall_now);
+    }
+}
+
+bool may_grant(const ledger& state, const ledger_shard& shard, const wire::claim& claim, const membership& nodes,
+               time_point now) {
+    return shard.is_primary && shard.ready && now >= shard.held_until && !state.fenced &&
+           shard.owners.epoch == claim.epoch() && state.record_count < state.policy.max_records &&
+           sees_majority(nodes, now, state.policy.majority_window);
+}
+
+/// Follows the parts of a transfer; the shard is complete once the last part has come and none is missing.
+void note_transfer(ledger_shard& shard, const wire::replicate& message) {
+    if (message.transfer_first() == 0) {
+        return;
+    }
+    const bool in_order =
+        message.sequence() == message.transfer_first() || message.sequence() == shard.transfer_expected;
+    shard.transfer_expected = in_order ? message.sequence() + 1 : 0;
+    shard.complete |= in_order && message.transfer_complete();
+}
+
+} // namespace
+
+wire::record to_wire(const ledger_record& value) {
+    wire::record out;
+    out.set_key(value.key);
+    out.set_fingerprint(value.fingerprint);
+    out.set_attempt(value.attempt);
+    out.set_state(static_cast<std::uint32_t>(value.state));
+    out.set_status(value.status);
+    out.set_content_type(value.content_type);
+    out.set_answer(value.answer);
+    out.set_answer_dropped(!value.answer_kept);
+    return out;
+}
+
+ledger_record from_wire(const wire::record& value) {
+    constexpr auto highest = static_cast<std::uint32_t>(record_state::unknown);
+    ledger_record in;
+    in.key = value.key();
+    in.fingerprint = value.fingerprint();
+    in.attempt = value.attempt();
+    in.state = static_cast<record_state>(std::min(value.state(), highest));
+    in.status = value.status();
+    in.content_type = value.content_type();
+    in.answer = value.answer();
+    in.answer_kept = !value.answer_dropped();
+    return in;
+}
+
+void adopt_ledger_map(ledger& state, const ledger_map& map, member_id self, time_point now, wall_ms wall_now) {
+    if (map.version <= state.map.version) {
+        return;
+    }
+    state.map = map;
+    std::uint32_t index = 0;
+    for (const ledger_zone& zone : map.zones) {
+        for (const shard_owners& owners : zone.shards) {
+            adopt_shard(state, index++, zone, owners, self, now, wall_now);
+        }
+    }
+}
+
+void fence_owner(ledger& state) {
+    state.fenced = true;
+}
+
+void confirm_owner(ledger& state, std::uint64_t peer_version) {
+    if (peer_version <= state.map.version) {
+        state.fenced = false;
+    }
+}
+
+std::vector<outgoing> handle_claim(ledger& state, const wire::claim& claim, const std::string& reply_to,
+                                   const membership& nodes, time_point now, wall_ms wall_now) {
+    const auto found = state.shards.find(claim.shard());
+    if (found == state.shards.end() || !may_grant(state, found->second, claim, nodes, now)) {
+        return {claim_answer(reply_to, claim.attempt(), claim_verdict::unavailable)};
+    }
+    ledger_shard& shard = found->second;
+    const auto known = shard.records.find(claim.key());
+    if (known != shard.records.end()) {
+        // A claim that is still on its way to the backup must not be answered for another attempt yet: it may
+        // be given up, and then its request did not run.
+        return {claim_answer(reply_to, claim.attempt(), verdict_on_record(known->second, claim), &known->second)};
+    }
+    const wall_ms made = key_time(claim.key());
+    if (made + static_cast<wall_ms>(state.policy.retention.count()) < wall_now) {
+        return {claim_answer(reply_to, claim.attempt(), claim_verdict::expired)};
+    }
+    if (made < shard.amnesia_before) {
+        return {claim_answer(reply_to, claim.attempt(), claim_verdict::doubtful)};
+    }
+    const ledger_record record{claim.key(), claim.fingerprint(), claim.attempt(), record_state::claimed, 0, {}, {}, true};
+    put_record(state, shard, record);
+    outgoing message = to_backup(claim.shard(), shard, nodes);
+    *message.frame.mutable_replicate()->add_records() = to_wire(record);
+    shard.grants[message.frame.replicate().sequence()] = {claim.key(), claim.attempt(), reply_to, now};
+    return {message};
+}
+
+std::vector<outgoing> handle_replicate(ledger& state, const wire::replicate& message, const std::string& reply_to) {
+    ledger_shard& shard = state.shards[message.shard()];
+    outgoing reply;
+    reply.address = reply_to;
+    wire::replicated& answer = *reply.frame.mutable_replicated();
+    answer.set_shard(message.shard());
+    answer.set_epoch(message.epoch());
+    answer.set_sequence(message.sequence());
+    const bool outdated = message.epoch() < shard.owners.epoch;
+    const bool own_shard = message.epoch() == shard.owners.epoch && shard.is_primary;
+    if (outdated || own_shard || state.fenced) {
+        answer.set_refused(true);
+        return {reply};
+    }
+    if (message.epoch() > shard.owners.epoch) {
+        // The map that makes this node the backup is still on its way here; from now on older owners are refused.
+        shard.owners = {0, 0, message.epoch()};
+        shard.is_primary = false;
+        shard.ready = false;
+        shard.grants.clear();
+    }
+    for (const wire::record& record : message.records()) {
+        if (record.state() == released_state) {
+            erase_record(state, shard, record.key());
+        } else {
+            put_record(state, shard, from_wire(record));
+        }
+    }
+    shard.amnesia_before = std::max(shard.amnesia_before, message.amnesia_before_ms());
+    note_transfer(shard, message);
+    answer.set_incomplete(!shard.complete);
+    return {reply};
+}
+
+std::vector<outgoing> handle_replicated(ledger& state, const wire::replicated& message) {
+    const auto found = state.shards.find(message.shard());
+    if (found == state.shards.end() || found->second.owners.epoch != message.epoch() || message.refused()) {
+        return {};
+    }
+    ledger_shard& shard = found->second;
+    if (!shard.is_primary) {
+        return {};
+    }
+    if (message.sequence() == shard.transfer_sequence) {
+        shard.ready = true;
+        return {};
+    }
+    if (message.incomplete()) {
+        // The backup was replaced by an empty process under the same name; it needs the whole shard first. The
+        // claim itself is recorded on both, so it may be granted.
+        shard.ready = false;
+    }
+    const auto grant = shard.grants.find(message.sequence());
+    if (grant == shard.grants.end()) {
+        return {};
+    }
+    const pending_grant granted = grant->second;
+    shard.grants.erase(grant);
+    return {claim_answer(granted.reply_to, granted.attempt, claim_verdict::granted)};
+}
+
+std::vector<outgoing> handle_settle(ledger& state, const wire::settle& message, const std::string& reply_to,
+                                    const membership& nodes) {
+    const auto found = state.shards.find(message.shard());
+    const std::uint64_t attempt = message.settled().attempt();
+    if (found == state.shards.end() || !found->second.is_primary) {
+        return {};
+    }
+    ledger_shard& shard = found->second;
+    const auto known = shard.records.find(message.settled().key());
+    std::vector<outgoing> messages{claim_answer(reply_to, attempt, claim_verdict::settled)};
+    const bool open = known != shard.records.end() && known->second.attempt == attempt &&
+                      known->second.state == record_state::claimed;
+    if (!open) {
+        return messages;
+    }
+    if (message.settled().state() == released_state) {
+        erase_record(state, shard, message.settled().key());
+    } else {
+        put_record(state, shard, from_wire(message.settled()));
+    }
+    outgoing copy = to_backup(message.shard(), shard, nodes);
+    *copy.frame.mutable_replicate()->add_records() = message.settled();
+    messages.push_back(std::move(copy));
+    return messages;
+}
+
+std::vector<outgoing> tick_ledger(ledger& state, const membership& nodes, time_point now, wall_ms wall_now) {
+    std::vector<outgoing> messages;
+    const auto kept = static_cast<wall_ms>((state.policy.retention + state.policy.retention_margin).count());
+    for (auto& [index, shard] : state.shards) {
+        if (shard.is_primary && !shard.ready && now >= shard.next_transfer) {
+            transfer(state, index, shard, nodes, now, messages);
+        }
+        for (auto grant = shard.grants.begin(); grant != shard.grants.end();) {
+            if (now - grant->second.sent <= state.policy.grant_timeout) {
+                ++grant;
+                continue;
+            }
+            // Never granted, so nobody runs it; the backup may keep the record, which only refuses more.
+            messages.push_back(claim_answer(grant->second.reply_to, grant->second.attempt, claim_verdict::unavailable));
+            erase_record(state, shard, grant->second.key);
+            grant = shard.grants.erase(grant);
+        }
+        while (!shard.records.empty() && key_time(shard.records.begin()->first) + kept < wall_now) {
+            const std::string oldest = shard.records.begin()->first;
+            erase_record(state, shard, oldest);
+        }
+    }
+    return messages;
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/call/routing.cpp
@@ -0,0 +1,218 @@
+#include "waxwingfall/call/routing.h"
+
+#include <algorithm>
+
+namespace waxwingfall {
+
+namespace {
+
+endpoint* find_endpoint(routing_table& table, const std::string& service, member_id id) {
+    const auto group = table.services.find(service);
+    if (group == table.services.end()) {
+        return nullptr;
+    }
+    const auto found = group->second.find(id);
+    return found == group->second.end() ? nullptr : &found->second;
+}
+
+/// Distance classes: the own data centre, the own region, the rest.
+int distance(const routing_table& table, const endpoint& candidate) {
+    if (candidate.data_centre == table.data_centre) {
+        return 0;
+    }
+    return candidate.region == table.region ? 1 : 2;
+}
+
+/// Slots that count at `now`: a new endpoint's share grows from a tenth to the whole.
+double counted_slots(const endpoint& candidate, const routing_policy& policy, time_point now) {
+    constexpr double first_share = 0.1;
+    const auto age = static_cast<double>(elapsed_ms(candidate.first_seen, now));
+    const double share = std::clamp(age / static_cast<double>(policy.slow_start.count()), first_share, 1.0);
+    return std::max(1U, candidate.slots) * share;
+}
+
+double load_of(const endpoint& candidate, const routing_policy& policy, time_point now) {
+    const bool believed = now - candidate.reported_at <= policy.load_lifetime;
+    const double reported = believed ? candidate.reported_load : 0.0;
+    return std::max(reported, static_cast<double>(candidate.in_flight)) / counted_slots(candidate, policy, now);
+}
+
+using endpoint_refs = std::vector<const endpoint*>;
+
+endpoint_refs at_distance(const routing_table& table, const std::map<member_id, endpoint>& group, int wanted) {
+    endpoint_refs found;
+    for (const auto& [id, candidate] : group) {
+        if (distance(table, candidate) == wanted) {
+            found.push_back(&candidate);
+        }
+    }
+    return found;
+}
+
+/// The candidates that are not ejected, unless too few would remain: then failures say more about the caller's
+/// own view than about the endpoints.
+endpoint_refs heeding_ejections(const endpoint_refs& candidates, const routing_policy& policy, time_point now) {
+    constexpr std::size_t percent = 100;
+    endpoint_refs healthy;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(healthy),
+                 [&](const endpoint* candidate) { return now >= candidate->ejected_until && !candidate->suspect; });
+    const bool enough = healthy.size() * percent >= candidates.size() * policy.healthy_floor_percent;
+    return enough ? healthy : candidates;
+}
+
+double mean_load(const endpoint_refs& candidates, const routing_policy& policy, time_point now) {
+    double sum = 0;
+    for (const endpoint* candidate : candidates) {
+        sum += load_of(*candidate, policy, now);
+    }
+    return sum / static_cast<double>(candidates.size());
+}
+
+/// Candidates of the nearest distance, and of the next ones for as long as the nearer are saturated.
+endpoint_refs near_with_capacity(const routing_table& table, const std::map<member_id, endpoint>& group,
+                                 time_point now) {
+    endpoint_refs chosen;
+    for (int wanted = 0; wanted <= 2; ++wanted) {
+        const auto here = heeding_ejections(at_distance(table, group, wanted), table.policy, now);
+        chosen.insert(chosen.end(), here.begin(), here.end());
+        if (!chosen.empty() && mean_load(chosen, table.policy, now) < table.policy.spill_load) {
+            break;
+        }
+    }
+    return chosen;
+}
+
+/// The candidates for which `passes` holds, or all of them if it holds for none.
+template <typename Predicate> endpoint_refs preferring(const endpoint_refs& candidates, const Predicate& passes) {
+    endpoint_refs preferred;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(preferred), passes);
+    return preferred.empty() ? candidates : preferred;
+}
+
+endpoint_refs not_tried(const std::map<member_id, endpoint>& group, endpoint_refs candidates,
+                        const std::vector<member_id>& tried) {
+    const auto is_new = [&](const endpoint* candidate) {
+        return std::find(tried.begin(), tried.end(), candidate->id) == tried.end();
+    };
+    std::erase_if(candidates, [&](const endpoint* candidate) { return !is_new(candidate); });
+    if (!candidates.empty()) {
+        return candidates;
+    }
+    // Near ones are used up; a retry may go far.
+    for (const auto& [id, candidate] : group) {
+        if (is_new(&candidate)) {
+            candidates.push_back(&candidate);
+        }
+    }
+    return candidates;
+}
+
+} // namespace
+
+void update_endpoint(routing_table& table, const member& now_known, time_point now) {
+    const bool is_there = now_known.state == member_state::alive || now_known.state == member_state::suspect;
+    const bool takes_work = is_there && now_known.slots > 0;
+    if (!takes_work) {
+        for (auto& [service, group] : table.services) {
+            group.erase(now_known.id);
+        }
+        return;
+    }
+    auto& group = table.services[now_known.service];
+    const auto known = group.find(now_known.id);
+    if (known != group.end() && known->second.address == now_known.inbound_address) {
+        known->second.suspect = now_known.state == member_state::suspect;
+        known->second.slots = now_known.slots;
+        return;
+    }
+    endpoint added;
+    added.id = now_known.id;
+    added.data_centre = now_known.data_centre;
+    added.region = now_known.region;
+    added.address = now_known.inbound_address;
+    added.slots = now_known.slots;
+    added.suspect = now_known.state == member_state::suspect;
+    added.first_seen = now;
+    group.insert_or_assign(now_known.id, added);
+}
+
+std::optional<member_id> pick_endpoint(routing_table& table, const std::string& service,
+                                       const std::vector<member_id>& tried, time_point now, random_source& random) {
+    const auto group = table.services.find(service);
+    if (group == table.services.end()) {
+        return std::nullopt;
+    }
+    auto candidates = not_tried(group->second, near_with_capacity(table, group->second, now), tried);
+    candidates = preferring(candidates, [&](const endpoint* one) { return now >= one->refused_until; });
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    if (table.policy.rule == pick_rule::round_robin) {
+        return candidates[table.turns[service]++ % candidates.size()]->id;
+    }
+    const endpoint* first = candidates[random_below(random, candidates.size())];
+    const endpoint* second = candidates[random_below(random, candidates.size())];
+    return load_of(*first, table.policy, now) <= load_of(*second, table.policy, now) ? first->id : second->id;
+}
+
+void begin_try(routing_table& table, const std::string& service, member_id id) {
+    if (endpoint* used = find_endpoint(table, service, id)) {
+        used->in_flight += 1;
+    }
+}
+
+void end_try(routing_table& table, const std::string& service, member_id id, try_result result,
+             std::optional<double> reported_load, time_point now) {
+    endpoint* used = find_endpoint(table, service, id);
+    if (used == nullptr) {
+        return;
+    }
+    used->in_flight -= std::min(used->in_flight, 1U);
+    if (reported_load) {
+        used->reported_load = *reported_load;
+        used->reported_at = now;
+    }
+    if (result == try_result::answered) {
+        used->failures = 0;
+        used->ejections = 0;
+        return;
+    }
+    if (result == try_result::refused) {
+        used->refused_until = now + table.policy.refusal_pause;
+        return;
+    }
+    if (result == try_result::cancelled) {
+        return;
+    }
+    used->failures += 1;
+    if (used->failures >= table.policy.failures_to_eject) {
+        constexpr std::uint32_t most_ejections = 10;
+        used->ejections = std::min(used->ejections + 1, most_ejections);
+        used->ejected_until = now + table.policy.eject_time * used->ejections;
+        used->failures = 0;
+    }
+}
+
+std::string endpoint_address(const routing_table& table, const std::string& service, member_id id) {
+    const auto group = table.services.find(service);
+    if (group == table.services.end()) {
+        return {};
+    }
+    const auto found = group->second.find(id);
+    return found == group->second.end() ? std::string() : found->second.address;
+}
+
+void earn_retry(retry_budget& budget, std::uint32_t percent) {
+    constexpr double hundred = 100.0;
+    budget.tokens = std::min(budget.limit, budget.tokens + percent / hundred);
+}
+
+bool spend_retry(retry_budget& budget) {
+    if (budget.tokens < 1.0) {
+        return false;
+    }
+    budget.tokens -= 1.0;
+    return true;
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/contract/document.cpp
@@ -0,0 +1,159 @@
+#include "waxwingfall/contract/document.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include <boost/leaf/error.hpp>
+
+#include "rules.h"
+#include "waxwingfall/support/yaml_tree.h"
+
+namespace waxwingfall {
+
+namespace {
+
+constexpr std::uint32_t default_timeout_ms = 2000;
+constexpr std::uint32_t default_max_attempts = 2;
+constexpr std::uint32_t default_retry_budget_percent = 10;
+constexpr std::uint32_t default_queue = 24;
+
+struct placed_contract {
+    contract content;
+    std::vector<source_place> service_places;
+    std::vector<source_place> route_places;
+};
+
+std::vector<std::string> sorted_texts(yaml_reader& reader, const yaml_value& map, std::string_view key) {
+    std::vector<std::string> found;
+    for (const yaml_value& item : reader.texts(map, key)) {
+        if (std::find(found.begin(), found.end(), item.scalar) != found.end()) {
+            reader.report(error_kind::duplicate_key, item, "'" + item.scalar + "' stands twice in this list");
+            continue;
+        }
+        found.push_back(item.scalar);
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+service_contract read_service(yaml_reader& reader, const yaml_entry& entry) {
+    service_contract service;
+    service.name = entry.key;
+    const yaml_value& body = entry.value;
+    if (!reader.expect_map(body, "a service", {"timeout_ms", "retries", "limits", "depends_on"})) {
+        return service;
+    }
+    service.timeout_ms = reader.number(body, "timeout_ms", min_timeout_ms, max_timeout_ms, default_timeout_ms);
+    service.max_attempts = default_max_attempts;
+    service.retry_budget_percent = default_retry_budget_percent;
+    service.queue = default_queue;
+    const yaml_value* retries = reader.child(body, "retries", false);
+    if (retries != nullptr && reader.expect_map(*retries, "retries", {"max_attempts", "budget_percent"})) {
+        service.max_attempts = reader.number(*retries, "max_attempts", 1, max_attempts_limit, default_max_attempts);
+        service.retry_budget_percent = reader.number(*retries, "budget_percent", 0, max_retry_budget_percent,
+                                                     default_retry_budget_percent);
+    }
+    const yaml_value* limits = reader.child(body, "limits", false);
+    if (limits != nullptr && reader.expect_map(*limits, "limits", {"in_flight", "queue"})) {
+        service.in_flight = reader.number(*limits, "in_flight", 0, max_in_flight, 0);
+        service.queue = reader.number(*limits, "queue", 0, max_queue, default_queue);
+    }
+    service.depends_on = sorted_texts(reader, body, "depends_on");
+    return service;
+}
+
+route_contract read_route(yaml_reader& reader, const yaml_value& body) {
+    route_contract route;
+    if (!reader.expect_map(body, "a route", {"host", "prefix", "service", "timeout_ms", "non_idempotent"})) {
+        return route;
+    }
+    route.host = reader.text(body, "host", true);
+    route.prefix = reader.text(body, "prefix", true);
+    route.service = reader.text(body, "service", true);
+    route.timeout_ms = reader.number(body, "timeout_ms", min_timeout_ms, max_timeout_ms, 0);
+    const yaml_value* marked = reader.child(body, "non_idempotent", false);
+    if (marked != nullptr && marked->kind == yaml_value::shape::scalar) {
+        if (reader.flag(body, "non_idempotent", false)) {
+            route.non_idempotent_methods = {"DELETE", "PATCH", "POST", "PUT"};
+        }
+    } else {
+        route.non_idempotent_methods = sorted_texts(reader, body, "non_idempotent");
+    }
+    return route;
+}
+
+placed_contract read_contract(yaml_reader& reader, const yaml_value& root, const std::string& file) {
+    placed_contract read;
+    if (!reader.expect_map(root, "the document", {"services", "routes"})) {
+        return read;
+    }
+    const yaml_value* services = reader.child(root, "services", true);
+    if (services != nullptr && services->kind != yaml_value::shape::map) {
+        reader.report(error_kind::wrong_type, *services, "'services' must be a map from names to services");
+    } else if (services != nullptr) {
+        for (const yaml_entry& entry : services->entries) {
+            read.content.services.push_back(read_service(reader, entry));
+            read.service_places.push_back({file, entry.line, entry.column});
+        }
+    }
+    const yaml_value* routes = reader.child(root, "routes", true);
+    if (routes != nullptr && routes->kind != yaml_value::shape::sequence) {
+        reader.report(error_kind::wrong_type, *routes, "'routes' must be a list");
+    } else if (routes != nullptr) {
+        for (const yaml_value& item : routes->items) {
+            read.content.routes.push_back(read_route(reader, item));
+            read.route_places.push_back({file, item.line, item.column});
+        }
+    }
+    return read;
+}
+
+/// True if a fault of form already explains a violation at the same place.
+bool already_reported(const std::vector<fault>& faults, const fault& candidate) {
+    return std::any_of(faults.begin(), faults.end(), [&](const fault& known) {
+        return known.kind == candidate.kind && known.place == candidate.place;
+    });
+}
+
+void check_meaning(const placed_contract& read, std::vector<fault>& faults) {
+    const bool well_formed = faults.empty();
+    for (const violation& found : find_violations(read.content)) {
+        const bool about_service = found.what == violation::subject::service;
+        const fault candidate{found.kind,
+                              about_service ? read.service_places[found.index] : read.route_places[found.index],
+                              found.message};
+        // Defaults stand in for values that could not be read, so only references are worth a second look then.
+        const bool about_values = found.kind == error_kind::out_of_range;
+        const bool of_empty_name = found.message.find("''") != std::string::npos;
+        if ((well_formed || (!about_values && !of_empty_name)) && !already_reported(faults, candidate)) {
+            faults.push_back(candidate);
+        }
+    }
+}
+
+} // namespace
+
+boost::leaf::result<contract> parse_contract(std::string_view text, const std::string& file) {
+    std::vector<fault> faults;
+    const yaml_value root = parse_yaml(text, file, faults);
+    const bool readable = root.kind != yaml_value::shape::null;
+    if (!readable && faults.empty()) {
+        faults.push_back({error_kind::wrong_type, {file, 1, 1}, "the document is empty"});
+    }
+    placed_contract read;
+    if (readable) {
+        yaml_reader reader(file, faults);
+        read = read_contract(reader, root, file);
+        check_meaning(read, faults);
+    }
+    if (!faults.empty()) {
+        std::stable_sort(faults.begin(), faults.end(),
+                         [](const fault& left, const fault& right) { return left.place < right.place; });
+        return boost::leaf::new_error(fault_list{std::move(faults)});
+    }
+    std::sort(read.content.services.begin(), read.content.services.end());
+    std::sort(read.content.routes.begin(), read.content.routes.end());
+    return std::move(read.content);
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/contract/rules.h
@@ -0,0 +1,35 @@
+#ifndef WAXWINGFALL_LIB_CONTRACT_RULES_H
+#define WAXWINGFALL_LIB_CONTRACT_RULES_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "waxwingfall/contract/document.h"
+
+namespace waxwingfall {
+
+/// One violation of a rule of meaning: the service or route concerned by its index, and the fault.
+struct violation {
+    enum class subject { service, route };
+    subject what = subject::service;
+    std::size_t index = 0;
+    error_kind kind = error_kind::out_of_range;
+    std::string message;
+};
+
+/// All violations of the rules that hold between the parts of a contract: references, cycles, overlaps, names,
+/// and ranges of values.
+std::vector<violation> find_violations(const contract& content);
+
+inline constexpr std::uint32_t min_timeout_ms = 10;
+inline constexpr std::uint32_t max_timeout_ms = 600'000;
+inline constexpr std::uint32_t max_attempts_limit = 5;
+inline constexpr std::uint32_t max_retry_budget_percent = 100;
+inline constexpr std::uint32_t max_in_flight = 10'000;
+inline constexpr std::uint32_t max_queue = 10'000;
+
+} // namespace waxwingfall
+
+#endif
--- /dev/null
+++ b/lib/contract/snapshot.cpp
@@ -0,0 +1,277 @@
+#include "waxwingfall/contract/snapshot.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+#include "waxwingfall/wire/wire.pb.h"
+
+namespace waxwingfall {
+
+namespace {
+
+void write_service(const service_contract& service, wire::service& out) {
+    out.set_name(service.name);
+    out.set_timeout_ms(service.timeout_ms);
+    out.set_max_attempts(service.max_attempts);
+    out.set_retry_budget_percent(service.retry_budget_percent);
+    out.set_in_flight(service.in_flight);
+    out.set_queue(service.queue);
+    for (const std::string& name : service.depends_on) {
+        out.add_depends_on(name);
+    }
+}
+
+void write_route(const route_contract& route, wire::route& out) {
+    out.set_host(route.host);
+    out.set_prefix(route.prefix);
+    out.set_service(route.service);
+    out.set_timeout_ms(route.timeout_ms);
+    for (const std::string& method : route.non_idempotent_methods) {
+        out.add_non_idempotent_methods(method);
+    }
+}
+
+service_contract read_service(const wire::service& in) {
+    service_contract service;
+    service.name = in.name();
+    service.timeout_ms = in.timeout_ms();
+    service.max_attempts = in.max_attempts();
+    service.retry_budget_percent = in.retry_budget_percent();
+    service.in_flight = in.in_flight();
+    service.queue = in.queue();
+    service.depends_on.assign(in.depends_on().begin(), in.depends_on().end());
+    return service;
+}
+
+route_contract read_route(const wire::route& in) {
+    route_contract route;
+    route.host = in.host();
+    route.prefix = in.prefix();
+    route.service = in.service();
+    route.timeout_ms = in.timeout_ms();
+    route.non_idempotent_methods.assign(in.non_idempotent_methods().begin(), in.non_idempotent_methods().end());
+    return route;
+}
+
+std::optional<contract> read_snapshot(std::string_view bytes) {
+    wire::snapshot in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    contract content;
+    for (const wire::service& service : in.services()) {
+        content.services.push_back(read_service(service));
+    }
+    for (const wire::route& route : in.routes()) {
+        content.routes.push_back(read_route(route));
+    }
+    return content;
+}
+
+using route_place = std::pair<std::string, std::string>;
+
+std::map<std::string, service_contract> services_by_name(const contract& content) {
+    std::map<std::string, service_contract> found;
+    for (const service_contract& service : content.services) {
+        found.emplace(service.name, service);
+    }
+    return found;
+}
+
+std::map<route_place, route_contract> routes_by_place(const contract& content) {
+    std::map<route_place, route_contract> found;
+    for (const route_contract& route : content.routes) {
+        found.emplace(route_place(route.host, route.prefix), route);
+    }
+    return found;
+}
+
+template <typename Values, typename Removed, typename Set>
+void compare_maps(const Values& before, const Values& after, const Removed& removed, const Set& set) {
+    for (const auto& [key, value] : before) {
+        if (!after.contains(key)) {
+            removed(key);
+        }
+    }
+    for (const auto& [key, value] : after) {
+        const auto old = before.find(key);
+        if (old == before.end() || old->second != value) {
+            set(old == before.end() ? nullptr : &old->second, value);
+        }
+    }
+}
+
+std::string joined(const std::vector<std::string>& names) {
+    std::string text;
+    for (const std::string& name : names) {
+        text += (text.empty() ? "" : ",") + name;
+    }
+    return "[" + text + "]";
+}
+
+/// Collects "field old -> new" for each field that differs.
+class field_changes {
+public:
+    void add(std::string_view field, const std::string& before, const std::string& after) {
+        if (before != after) {
+            text_ += (text_.empty() ? "" : ", ") + std::string(field) + " " + before + " -> " + after;
+        }
+    }
+    void add(std::string_view field, std::uint32_t before, std::uint32_t after) {
+        add(field, std::to_string(before), std::to_string(after));
+    }
+    const std::string& text() const { return text_; }
+
+private:
+    std::string text_;
+};
+
+std::string service_changes(const service_contract& before, const service_contract& after) {
+    field_changes changes;
+    changes.add("timeout_ms", before.timeout_ms, after.timeout_ms);
+    changes.add("retries.max_attempts", before.max_attempts, after.max_attempts);
+    changes.add("retries.budget_percent", before.retry_budget_percent, after.retry_budget_percent);
+    changes.add("limits.in_flight", before.in_flight, after.in_flight);
+    changes.add("limits.queue", before.queue, after.queue);
+    changes.add("depends_on", joined(before.depends_on), joined(after.depends_on));
+    return changes.text();
+}
+
+std::string route_changes(const route_contract& before, const route_contract& after) {
+    field_changes changes;
+    changes.add("service", before.service, after.service);
+    changes.add("timeout_ms", before.timeout_ms, after.timeout_ms);
+    changes.add("non_idempotent", joined(before.non_idempotent_methods), joined(after.non_idempotent_methods));
+    return changes.text();
+}
+
+bool prefix_matches(std::string_view prefix, std::string_view path) {
+    if (!path.starts_with(prefix)) {
+        return false;
+    }
+    return prefix.ends_with('/') || path.size() == prefix.size() || path[prefix.size()] == '/' ||
+           path[prefix.size()] == '?';
+}
+
+} // namespace
+
+std::string encode_contract(const contract& content) {
+    wire::snapshot out;
+    for (const service_contract& service : content.services) {
+        write_service(service, *out.add_services());
+    }
+    for (const route_contract& route : content.routes) {
+        write_route(route, *out.add_routes());
+    }
+    return out.SerializeAsString();
+}
+
+std::string why_refused(std::string_view bytes) {
+    const auto content = read_snapshot(bytes);
+    if (!content) {
+        return "the content does not parse";
+    }
+    if (auto reason = first_violation(*content); !reason.empty()) {
+        return reason;
+    }
+    // An unknown field of a newer program would be dropped here, and with it a promise to the operator.
+    return encode_contract(*content) == bytes ? std::string() : "the content has parts that this program does not know";
+}
+
+std::optional<contract> decode_contract(std::string_view bytes) {
+    if (!why_refused(bytes).empty()) {
+        return std::nullopt;
+    }
+    return read_snapshot(bytes);
+}
+
+std::optional<std::string> make_delta(std::string_view base, std::string_view target) {
+    const auto before = read_snapshot(base);
+    const auto after = read_snapshot(target);
+    if (!before || !after) {
+        return std::nullopt;
+    }
+    wire::delta out;
+    compare_maps(
+        services_by_name(*before), services_by_name(*after),
+        [&](const std::string& name) { out.add_removed_services(name); },
+        [&](const service_contract*, const service_contract& service) {
+            write_service(service, *out.add_set_services());
+        });
+    compare_maps(
+        routes_by_place(*before), routes_by_place(*after),
+        [&](const route_place& place) {
+            wire::route_key& key = *out.add_removed_routes();
+            key.set_host(place.first);
+            key.set_prefix(place.second);
+        },
+        [&](const route_contract*, const route_contract& route) { write_route(route, *out.add_set_routes()); });
+    return out.SerializeAsString();
+}
+
+std::optional<std::string> apply_delta(std::string_view base, std::string_view delta) {
+    const auto before = read_snapshot(base);
+    wire::delta change;
+    if (!before || !change.ParseFromArray(delta.data(), static_cast<int>(delta.size()))) {
+        return std::nullopt;
+    }
+    auto services = services_by_name(*before);
+    for (const std::string& name : change.removed_services()) {
+        services.erase(name);
+    }
+    for (const wire::service& service : change.set_services()) {
+        services.insert_or_assign(service.name(), read_service(service));
+    }
+    auto routes = routes_by_place(*before);
+    for (const wire::route_key& key : change.removed_routes()) {
+        routes.erase({key.host(), key.prefix()});
+    }
+    for (const wire::route& route : change.set_routes()) {
+        routes.insert_or_assign({route.host(), route.prefix()}, read_route(route));
+    }
+    contract after;
+    for (const auto& [name, service] : services) {
+        after.services.push_back(service);
+    }
+    for (const auto& [place, route] : routes) {
+        after.routes.push_back(route);
+    }
+    return encode_contract(after);
+}
+
+std::vector<std::string> describe_difference(const contract& before, const contract& after) {
+    std::vector<std::string> lines;
+    compare_maps(
+        services_by_name(before), services_by_name(after),
+        [&](const std::string& name) { lines.push_back("- service " + name); },
+        [&](const service_contract* old, const service_contract& service) {
+            lines.push_back(old == nullptr ? "+ service " + service.name
+                                           : "~ service " + service.name + ": " + service_changes(*old, service));
+        });
+    compare_maps(
+        routes_by_place(before), routes_by_place(after),
+        [&](const route_place& place) { lines.push_back("- route " + place.first + place.second); },
+        [&](const route_contract* old, const route_contract& route) {
+            const std::string name = "route " + route.host + route.prefix;
+            lines.push_back(old == nullptr ? "+ " + name + " -> " + route.service
+                                           : "~ " + name + ": " + route_changes(*old, route));
+        });
+    return lines;
+}
+
+const route_contract* match_route(const contract& content, std::string_view host, std::string_view path) {
+    const auto host_name = host.substr(0, host.find(':'));
+    const route_contract* best = nullptr;
+    const auto first = std::lower_bound(
+        content.routes.begin(), content.routes.end(), host_name,
+        [](const route_contract& route, std::string_view wanted) { return route.host < wanted; });
+    for (auto route = first; route != content.routes.end() && route->host == host_name; ++route) {
+        if (prefix_matches(route->prefix, path) && (best == nullptr || route->prefix.size() > best->prefix.size())) {
+            best = &*route;
+        }
+    }
+    return best;
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/machine/admin.cpp
@@ -0,0 +1,127 @@
+#include "waxwingfall/machine/admin.h"
+
+#include <nlohmann/json.hpp>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include "waxwingfall/support/digest.h"
+
+namespace waxwingfall {
+
+namespace {
+
+std::string_view state_name(member_state state) {
+    switch (state) {
+    case member_state::alive:
+        return "alive";
+    case member_state::suspect:
+        return "suspect";
+    case member_state::leaving:
+        return "leaving";
+    case member_state::dead:
+        return "dead";
+    }
+    return "dead";
+}
+
+void add_gauge(prometheus::Registry& registry, const std::string& name, const std::string& help, double value) {
+    prometheus::BuildGauge().Name("waxwingfall_" + name).Help(help).Register(registry).Add({}).Set(value);
+}
+
+} // namespace
+
+admin_server::admin_server(const node_context& node, admin_view view)
+    : node_(node), view_(std::move(view)),
+      server_(node.loop, node.settings.admin, [this](evhttp_request* request) { receive(request); }) {}
+
+void admin_server::receive(evhttp_request* request) const {
+    const std::string path = request_path(request);
+    if (path == "/status") {
+        answer(request, 200, status_text(), {{"Content-Type", "application/json"}});
+    } else if (path == "/metrics") {
+        answer(request, 200, metrics_text(), {{"Content-Type", "text/plain; version=0.0.4"}});
+    } else {
+        answer(request, 404, "pages: /status /metrics\n");
+    }
+}
+
+std::string admin_server::status_text() const {
+    const zone& control = node_.control;
+    nlohmann::ordered_json page;
+    page["node"] = node_.settings.name;
+    page["data_centre"] = node_.settings.data_centre;
+    page["environment"] = node_.settings.environment;
+    page["version"] = control.contracts.enforced.mark.version;
+    page["digest"] = to_hex(control.contracts.enforced.mark.digest);
+    page["newest_known"] = control.contracts.newest_known.version;
+    if (control.contracts.refused) {
+        page["refused_version"] = control.contracts.refused->mark.version;
+        page["refused_reason"] = control.contracts.refused->reason;
+    }
+    page["joined"] = control.nodes.joined;
+    page["leaving"] = node_.leaving;
+    page["platform_reachable"] = view_.platform_reachable();
+    page["worker_healthy"] = view_.worker_healthy();
+    page["bridge_rank"] = own_bridge_rank(control.nodes) ? static_cast<int>(*own_bridge_rank(control.nodes)) : -1;
+    page["ledger_map"] = node_.records.map.version;
+    page["ledger_fenced"] = node_.records.fenced;
+    std::size_t owned = 0;
+    std::size_t ready = 0;
+    for (const auto& [index, shard] : node_.records.shards) {
+        owned += shard.is_primary ? 1 : 0;
+        ready += shard.is_primary && shard.ready && monotonic_now() >= shard.held_until ? 1 : 0;
+    }
+    page["ledger_shards"] = owned;
+    page["ledger_shards_ready"] = ready;
+    auto& members = page["members"];
+    members = nlohmann::ordered_json::array();
+    for (const auto& [id, record] : control.nodes.members) {
+        members.push_back({{"name", record.name},
+                           {"data_centre", record.data_centre},
+                           {"service", record.service},
+                           {"state", state_name(record.state)},
+                           {"slots", record.slots}});
+    }
+    return page.dump(1) + "\n";
+}
+
+std::string admin_server::metrics_text() const {
+    prometheus::Registry registry;
+    const zone& control = node_.control;
+    const call_counts& counts = node_.counts;
+    const link_counts& link = node_.link->counts();
+    const auto add = [&](const std::string& name, const std::string& help, auto value) {
+        add_gauge(registry, name, help, static_cast<double>(value));
+    };
+    add("enforced_version", "version of the document in force", control.contracts.enforced.mark.version);
+    add("newest_known_version", "newest version that this node has heard of", control.contracts.newest_known.version);
+    add("version_conflicts_total", "contents seen with a held version and another digest", control.contracts.conflicts);
+    add("bad_contents_total", "contents without the announced digest", control.contracts.bad_contents);
+    add("members", "nodes in the table, dead ones included", control.nodes.members.size());
+    add("calls_received_total", "requests of callers", counts.received);
+    add("calls_answered_total", "requests answered by a worker", counts.answered);
+    add("calls_not_run_total", "requests refused and not run", counts.not_run);
+    add("calls_unknown_total", "requests with an unknown outcome", counts.unknown);
+    add("calls_replayed_total", "answers given again from the ledger", counts.replayed);
+    add("tries_total", "tries at workers", counts.tries);
+    add("retries_total", "tries after the first", counts.retries);
+    add("retries_denied_total", "retries that the budget forbade", counts.retries_denied);
+    add("admitted_total", "requests passed to the worker", counts.admitted);
+    add("refused_by_gate_total", "requests refused beside the worker", counts.refused_by_gate);
+    add("callers_gone_total", "requests whose caller closed its connection", counts.caller_gone);
+    add("open_calls", "requests of callers under way", view_.open_calls());
+    add("open_requests", "requests at the worker or waiting for it", view_.open_requests());
+    add("control_frames_sent_total", "messages to other nodes", link.frames_sent);
+    add("control_bytes_sent_total", "bytes of messages to other nodes", link.bytes_sent);
+    add("control_frames_received_total", "messages from other nodes", link.frames_received);
+    add("control_bytes_received_total", "bytes of messages from other nodes", link.bytes_received);
+    add("control_frames_dropped_total", "messages dropped before a full queue", link.frames_dropped);
+    add("control_frames_refused_total", "messages that did not parse", link.frames_refused);
+    add("control_peers", "open sockets to other nodes", node_.link->open_peers());
+    add("ledger_records", "idempotency keys recorded here", node_.records.record_count);
+    add("ledger_answer_bytes", "bytes of answers kept for them", node_.records.answer_bytes);
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/machine/call_proxy.cpp
@@ -0,0 +1,448 @@
+#include "waxwingfall/machine/call_proxy.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "waxwingfall/contract/snapshot.h"
+
+namespace waxwingfall {
+
+namespace {
+
+constexpr milliseconds sweep_period{20};
+constexpr milliseconds connection_reuse{5000};
+constexpr std::size_t kept_answer_bytes = 4096;
+
+/// Added to the wait for a worker's node, so that its own answer to a missed deadline arrives first.
+constexpr milliseconds deadline_margin{50};
+
+std::optional<double> load_in(const std::vector<http_header>& headers) {
+    const std::string text = header_value(headers, call_header::load);
+    int value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    return text.empty() || result.ec != std::errc{} ? std::nullopt : std::optional<double>(value);
+}
+
+/// The error kind that a worker's node names as the reason of its refusal.
+error_kind reason_in(const std::vector<http_header>& headers) {
+    const std::string name = header_value(headers, call_header::reason);
+    for (const error_answer& row : error_table()) {
+        if (row.name == name) {
+            return row.kind;
+        }
+    }
+    return error_kind::overloaded;
+}
+
+error_kind kind_of(claim_verdict verdict) {
+    switch (verdict) {
+    case claim_verdict::running:
+        return error_kind::request_in_progress;
+    case claim_verdict::key_reused:
+        return error_kind::idempotency_key_reused;
+    case claim_verdict::expired:
+        return error_kind::key_expired;
+    case claim_verdict::unknown:
+    case claim_verdict::doubtful:
+        return error_kind::outcome_unknown;
+    default:
+        return error_kind::ledger_unavailable;
+    }
+}
+
+/// True if another try at another worker could end better. Work that was refused for the request's own sake is not.
+bool is_worth_a_retry(error_kind kind) {
+    return kind == error_kind::overloaded || kind == error_kind::leaving || kind == error_kind::worker_unreachable ||
+           kind == error_kind::no_endpoint;
+}
+
+} // namespace
+
+struct call_proxy::call {
+    received_request received;
+    std::unique_ptr<downstream> caller;
+    std::shared_ptr<const contract> under; ///< the document in force when the call arrived
+    std::uint64_t version = 0;
+    const route_contract* route = nullptr;
+    const service_contract* service = nullptr;
+    bool non_idempotent = false;
+    bool inside_retry = false;
+    time_point deadline;
+    std::optional<idempotency_key> key;
+    std::uint64_t attempt = 0; ///< of the claim; 0 without one
+    bool granted = false;
+    std::vector<member_id> tried;
+    member_id endpoint = 0;
+    std::uint64_t upstream = 0;
+    bool trying = false;
+    bool refused = false; ///< the worker's node refused this try
+    error_kind refusal = error_kind::overloaded;
+    std::optional<double> reported_load;
+    int status = 0;
+    std::string content_type;
+    std::string answer_copy;
+    bool answer_too_long = false;
+};
+
+call_proxy::call_proxy(node_context& node)
+    : node_(node), workers_(node.loop, connection_reuse),
+      server_(node.loop, node.settings.calls, [this](evhttp_request* raw) { receive(raw); }),
+      sweep_(loop_event::every(node.loop, sweep_period, [this] { sweep(); })) {
+    evhttp* raw = server_.raw();
+    evhttp_set_max_body_size(raw, node.settings.max_body_bytes);
+    evhttp_set_max_headers_size(raw, node.settings.max_header_bytes);
+    evhttp_set_allowed_methods(raw, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+                                        EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+    constexpr std::int64_t thousand = 1000;
+    const timeval limit{node.settings.caller_timeout.count() / thousand,
+                        (node.settings.caller_timeout.count() % thousand) * thousand};
+    evhttp_set_timeout_tv(raw, &limit);
+}
+
+call_proxy::~call_proxy() = default;
+
+void call_proxy::receive(evhttp_request* raw) {
+    const std::uint64_t id = next_id_++;
+    node_.counts.received += 1;
+    auto made = std::make_unique<call>();
+    made->caller = std::make_unique<downstream>(raw);
+    const auto fault = read_request(raw, made->received);
+    calls_.emplace(id, std::move(made));
+    if (fault) {
+        fail(id, *fault);
+        return;
+    }
+    start(id);
+}
+
+void call_proxy::start(std::uint64_t id) {
+    call& started = *calls_.at(id);
+    const time_point now = monotonic_now();
+    if (!node_.in_force) {
+        fail(id, error_kind::no_configuration);
+        return;
+    }
+    // The call keeps the document that it started under, so a change never applies to half of it.
+    started.under = node_.in_force;
+    started.version = node_.version;
+    started.route = match_route(*started.under, started.received.host, started.received.path);
+    if (started.route == nullptr) {
+        fail(id, error_kind::no_route);
+        return;
+    }
+    started.service = find_service(*started.under, started.route->service);
+    const std::uint32_t limit =
+        started.route->timeout_ms != 0 ? started.route->timeout_ms : started.service->timeout_ms;
+    started.deadline = read_deadline(started.received.request.headers, milliseconds(limit), now);
+    const std::string retry = header_value(started.received.request.headers, call_header::retry_attempt);
+    started.inside_retry = !retry.empty() && retry != "0";
+    const auto& marked = started.route->non_idempotent_methods;
+    started.non_idempotent = std::find(marked.begin(), marked.end(), started.received.method) != marked.end();
+    if (now >= started.deadline) {
+        fail(id, error_kind::deadline_exceeded);
+        return;
+    }
+    if (is_quarantined(node_.crashes, started.received.fingerprint, now)) {
+        fail(id, error_kind::crash_quarantined);
+        return;
+    }
+    earn_retry(budgets_[started.service->name], started.service->retry_budget_percent);
+    if (started.non_idempotent) {
+        claim(id);
+    } else {
+        try_next(id);
+    }
+}
+
+void call_proxy::claim(std::uint64_t id) {
+    call& started = *calls_.at(id);
+    const std::string text = header_value(started.received.request.headers, call_header::idempotency_key);
+    if (text.empty()) {
+        fail(id, error_kind::missing_idempotency_key);
+        return;
+    }
+    started.key = parse_idempotency_key(text);
+    const auto ahead = static_cast<wall_ms>(node_.records.policy.clock_ahead.count());
+    if (!started.key || started.key->made > wall_now() + ahead) {
+        fail(id, error_kind::bad_idempotency_key);
+        return;
+    }
+    claimant_effects effects;
+    const auto attempt = start_claim(node_.claims, node_.records.map, node_.control.nodes, *started.key,
+                                     started.received.fingerprint, monotonic_now(), node_.random, effects);
+    if (!attempt) {
+        fail(id, error_kind::ledger_unavailable);
+        return;
+    }
+    started.attempt = *attempt;
+    call_of_attempt_[*attempt] = id;
+    send_all(node_, std::move(effects.messages));
+}
+
+void call_proxy::handle_claims(const claimant_effects& effects) {
+    for (const claim_result& result : effects.results) {
+        const auto found = call_of_attempt_.find(result.attempt);
+        if (found == call_of_attempt_.end()) {
+            if (result.verdict == claim_verdict::granted) {
+                // The caller left before the grant came; nothing was sent.
+                send_all(node_, release_claim(node_.claims, node_.records.map, node_.control.nodes, result.attempt,
+                                              result.key, monotonic_now())
+                                    .messages);
+            }
+            continue;
+        }
+        const std::uint64_t id = found->second;
+        call_of_attempt_.erase(found);
+        if (result.verdict == claim_verdict::granted) {
+            calls_.at(id)->granted = true;
+            try_next(id);
+        } else if (result.verdict == claim_verdict::done) {
+            replay(id, result.existing);
+        } else {
+            fail(id, kind_of(result.verdict));
+        }
+    }
+}
+
+void call_proxy::replay(std::uint64_t id, const ledger_record& record) {
+    call& repeated = *calls_.at(id);
+    node_.counts.replayed += 1;
+    if (!record.answer_kept) {
+        fail(id, error_kind::answer_not_kept);
+        return;
+    }
+    std::vector<http_header> headers{{call_header::outcome, std::string(outcome_name(outcome::done))},
+                                     {call_header::replayed, "true"}};
+    if (!record.content_type.empty()) {
+        headers.push_back({"Content-Type", record.content_type});
+    }
+    repeated.caller->reply(static_cast<int>(record.status), record.answer, headers);
+    node_.counts.answered += 1;
+    remove(id);
+}
+
+void call_proxy::try_next(std::uint64_t id) {
+    call& tried = *calls_.at(id);
+    const time_point now = monotonic_now();
+    const std::string& service = tried.service->name;
+    if (now >= tried.deadline) {
+        fail(id, error_kind::deadline_exceeded);
+        return;
+    }
+    const auto endpoint = pick_endpoint(node_.routing, service, tried.tried, now, node_.random);
+    if (!endpoint) {
+        fail(id, tried.tried.empty() ? error_kind::no_endpoint : tried.refusal);
+        return;
+    }
+    tried.endpoint = *endpoint;
+    tried.refused = false;
+    tried.trying = true;
+    tried.reported_load.reset();
+    const bool is_retry = !tried.tried.empty();
+    tried.tried.push_back(*endpoint);
+    node_.counts.tries += 1;
+    node_.counts.retries += is_retry ? 1 : 0;
+    begin_try(node_.routing, service, *endpoint);
+    http_request sent = tried.received.request;
+    const auto left = std::max<std::int64_t>(1, elapsed_ms(now, tried.deadline));
+    set_header(sent.headers, call_header::deadline_ms, std::to_string(left));
+    if (is_retry || tried.inside_retry) {
+        set_header(sent.headers, call_header::retry_attempt, std::to_string(tried.tried.size()));
+    }
+    upstream_callbacks callbacks;
+    callbacks.on_headers = [this, id](int status, const std::vector<http_header>& headers) {
+        on_headers(id, status, headers);
+    };
+    callbacks.on_data = [this, id](evbuffer* data) { on_data(id, data); };
+    callbacks.on_end = [this, id](upstream_end end) { on_end(id, end); };
+    const auto address = parse_address(endpoint_address(node_.routing, service, *endpoint));
+    tried.upstream =
+        workers_.send(address.value_or(ip_address{}), sent, milliseconds(left) + deadline_margin, std::move(callbacks));
+}
+
+void call_proxy::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
+    call& answered = *calls_.at(id);
+    answered.reported_load = load_in(headers);
+    const std::string result = header_value(headers, call_header::outcome);
+    if (result != outcome_name(outcome::done)) {
+        // Held back: another try may still give the caller a real answer.
+        answered.refused = result == outcome_name(outcome::not_run);
+        answered.refusal = answered.refused ? reason_in(headers) : error_kind::worker_failed;
+        answered.status = 0;
+        return;
+    }
+    answered.status = status;
+    answered.content_type = header_value(headers, "Content-Type");
+    auto passed = passable_headers(headers);
+    passed.push_back({call_header::outcome, std::string(outcome_name(outcome::done))});
+    passed.push_back({call_header::version, std::to_string(answered.version)});
+    answered.caller->begin(status, passed);
+}
+
+void call_proxy::on_data(std::uint64_t id, evbuffer* data) {
+    call& answered = *calls_.at(id);
+    if (answered.status == 0) {
+        evbuffer_drain(data, evbuffer_get_length(data));
+        return;
+    }
+    if (answered.granted && !answered.answer_too_long) {
+        const std::size_t size = evbuffer_get_length(data);
+        answered.answer_too_long = answered.answer_copy.size() + size > kept_answer_bytes;
+        if (answered.answer_too_long) {
+            answered.answer_copy.clear();
+        } else {
+            std::string piece(size, '\0');
+            evbuffer_copyout(data, piece.data(), size);
+            answered.answer_copy += piece;
+        }
+    }
+    const std::uint64_t upstream = answered.upstream;
+    if (answered.caller->write(data, [this, upstream] { workers_.resume(upstream); })) {
+        workers_.pause(upstream);
+    }
+}
+
+void call_proxy::on_end(std::uint64_t id, upstream_end end) {
+    call& ended = *calls_.at(id);
+    const time_point now = monotonic_now();
+    ended.trying = false;
+    const bool answered = end == upstream_end::complete && ended.status != 0;
+    const bool refused = end == upstream_end::complete && ended.refused;
+    const try_result result = answered ? try_result::answered : refused ? try_result::refused : try_result::failed;
+    end_try(node_.routing, ended.service->name, ended.endpoint, result, ended.reported_load, now);
+    if (answered) {
+        finish(id);
+        return;
+    }
+    if (end == upstream_end::not_connected) {
+        ended.refused = true;
+        ended.refusal = error_kind::worker_unreachable;
+    }
+    if (ended.refused) {
+        on_refused(id);
+        return;
+    }
+    if (ended.caller->has_begun() || ended.non_idempotent) {
+        // A second run could double what the first one did.
+        fail(id, error_kind::outcome_unknown);
+        return;
+    }
+    ended.refusal = error_kind::worker_failed;
+    if (may_retry(ended, now)) {
+        try_next(id);
+    } else {
+        fail(id, error_kind::worker_failed);
+    }
+}
+
+void call_proxy::on_refused(std::uint64_t id) {
+    call& refused = *calls_.at(id);
+    if (is_worth_a_retry(refused.refusal) && may_retry(refused, monotonic_now())) {
+        try_next(id);
+    } else {
+        fail(id, refused.refusal);
+    }
+}
+
+bool call_proxy::may_retry(call& failed, time_point now) {
+    if (failed.tried.size() >= failed.service->max_attempts || now >= failed.deadline || failed.inside_retry) {
+        return false;
+    }
+    if (!node_.settings.retry_budget || spend_retry(budgets_[failed.service->name])) {
+        return true;
+    }
+    node_.counts.retries_denied += 1;
+    return false;
+}
+
+void call_proxy::settle(call& settled, std::uint32_t state) {
+    if (!settled.granted) {
+        return;
+    }
+    settled.granted = false;
+    wire::record record;
+    record.set_key(settled.key->bytes);
+    record.set_fingerprint(settled.received.fingerprint);
+    record.set_attempt(settled.attempt);
+    record.set_state(state);
+    record.set_status(static_cast<std::uint32_t>(settled.status));
+    record.set_content_type(settled.content_type);
+    record.set_answer(settled.answer_copy);
+    record.set_answer_dropped(settled.answer_too_long);
+    send_all(node_, settle_claim(node_.claims, node_.records.map, node_.control.nodes, std::move(record),
+                                 monotonic_now())
+                        .messages);
+}
+
+void call_proxy::finish(std::uint64_t id) {
+    call& finished = *calls_.at(id);
+    settle(finished, static_cast<std::uint32_t>(record_state::done));
+    finished.caller->end();
+    node_.counts.answered += 1;
+    node_.control.calls += 1;
+    remove(id);
+}
+
+void call_proxy::fail(std::uint64_t id, error_kind kind) {
+    call& failed = *calls_.at(id);
+    const error_answer& row = answer_of(kind);
+    const bool not_run = row.result == outcome::not_run;
+    settle(failed, not_run ? released_state : static_cast<std::uint32_t>(record_state::unknown));
+    node_.counts.not_run += not_run ? 1 : 0;
+    node_.counts.unknown += not_run ? 0 : 1;
+    node_.control.calls += 1;
+    const bool is_callers_fault = row.http_status >= 400 && row.http_status < 500;
+    node_.control.failed_calls += is_callers_fault ? 0 : 1;
+    // After the first piece, destroying the answer breaks the connection, so that it never looks whole.
+    if (!failed.caller->has_begun()) {
+        auto headers = error_headers(kind);
+        if (kind == error_kind::malformed_request) {
+            headers.push_back({"Connection", "close"});
+        }
+        failed.caller->reply(row.http_status, error_body(kind), headers);
+    }
+    remove(id);
+}
+
+void call_proxy::remove(std::uint64_t id) {
+    const auto found = calls_.find(id);
+    const std::unique_ptr<call> removed = std::move(found->second);
+    calls_.erase(found);
+    call_of_attempt_.erase(removed->attempt);
+    if (removed->trying) {
+        workers_.cancel(removed->upstream);
+        end_try(node_.routing, removed->service->name, removed->endpoint, try_result::cancelled, {}, monotonic_now());
+    }
+}
+
+void call_proxy::sweep() {
+    const time_point now = monotonic_now();
+    std::vector<std::uint64_t> gone;
+    std::vector<std::uint64_t> late;
+    for (const auto& [id, open] : calls_) {
+        // A non-idempotent request that may be running is let run to its end: its caller will ask for the outcome.
+        if (!open->granted && open->caller->is_gone()) {
+            gone.push_back(id);
+        } else if (now >= open->deadline + deadline_margin) {
+            late.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : gone) {
+        node_.counts.caller_gone += 1;
+        remove(id);
+    }
+    for (const std::uint64_t id : late) {
+        call& expired = *calls_.at(id);
+        if (expired.trying) {
+            expired.trying = false;
+            workers_.cancel(expired.upstream);
+            end_try(node_.routing, expired.service->name, expired.endpoint, try_result::failed, {}, now);
+            fail(id, error_kind::outcome_unknown);
+            continue;
+        }
+        fail(id, error_kind::deadline_exceeded);
+    }
+    workers_.close_idle(now);
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/machine/downstream.cpp
@@ -0,0 +1,137 @@
+#include "waxwingfall/machine/downstream.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+#include <event2/bufferevent.h>
+#include <event2/http_struct.h>
+#include <sys/socket.h>
+
+namespace waxwingfall {
+
+namespace {
+
+/// Bytes that may wait for a slow receiver before the source is paused.
+constexpr std::size_t high_water_bytes = 256 * 1024;
+
+void add_headers(evhttp_request* request, const std::vector<http_header>& headers) {
+    evkeyvalq* out = evhttp_request_get_output_headers(request);
+    for (const http_header& header : headers) {
+        evhttp_add_header(out, header.name.c_str(), header.value.c_str());
+    }
+}
+
+} // namespace
+
+downstream::downstream(evhttp_request* request) : request_(request) {
+    evhttp_connection_set_closecb(
+        evhttp_request_get_connection(request),
+        [](evhttp_connection*, void* context) {
+            auto* self = static_cast<downstream*>(context);
+            self->gone_ = true;
+            if (evhttp_request_get_connection(self->request_) == nullptr) {
+                // The library has let go of the request without freeing it.
+                evhttp_request_free(self->request_);
+            }
+            self->request_ = nullptr;
+        },
+        this);
+}
+
+downstream::~downstream() {
+    if (request_ != nullptr) {
+        evhttp_connection* connection = evhttp_request_get_connection(request_);
+        detach();
+        evhttp_connection_free(connection);
+    }
+}
+
+void downstream::detach() {
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request_), nullptr, nullptr);
+    request_ = nullptr;
+}
+
+void downstream::reply(int status, std::string_view body, const std::vector<http_header>& headers) {
+    if (request_ == nullptr) {
+        return;
+    }
+    evhttp_request* request = request_;
+    detach();
+    answer(request, status, body, headers);
+}
+
+void downstream::begin(int status, const std::vector<http_header>& headers) {
+    begun_ = true;
+    if (request_ == nullptr) {
+        return;
+    }
+    add_headers(request_, headers);
+    evhttp_send_reply_start(request_, status, nullptr);
+}
+
+bool downstream::write(evbuffer* data, std::function<void()> on_drained) {
+    if (request_ == nullptr) {
+        evbuffer_drain(data, evbuffer_get_length(data));
+        return false;
+    }
+    on_drained_ = std::move(on_drained);
+    evhttp_send_reply_chunk_with_cb(
+        request_, data,
+        [](evhttp_connection*, void* context) {
+            auto* self = static_cast<downstream*>(context);
+            if (self->on_drained_) {
+                const auto action = self->on_drained_;
+                action();
+            }
+        },
+        this);
+    if (request_ == nullptr) {
+        return false;
+    }
+    bufferevent* connection = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_));
+    return evbuffer_get_length(bufferevent_get_output(connection)) > high_water_bytes;
+}
+
+void downstream::end() {
+    if (request_ == nullptr) {
+        return;
+    }
+    evhttp_request* request = request_;
+    detach();
+    evhttp_send_reply_end(request);
+}
+
+bool downstream::is_gone() const {
+    if (gone_ || request_ == nullptr) {
+        return true;
+    }
+    // The library does not look for the end of a connection while a request is being worked on.
+    const int descriptor =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_)));
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+bool same_header(std::string_view left, std::string_view right) {
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char one, char other) {
+        return std::tolower(static_cast<unsigned char>(one)) == std::tolower(static_cast<unsigned char>(other));
+    });
+}
+
+bool is_hop_header(std::string_view name) {
+    constexpr std::array hop_headers{std::string_view("Connection"),        std::string_view("Keep-Alive"),
+                                     std::string_view("Transfer-Encoding"), std::string_view("TE"),
+                                     std::string_view("Trailer"),           std::string_view("Upgrade"),
+                                     std::string_view("Proxy-Connection"),  std::string_view("Expect")};
+    return std::any_of(hop_headers.begin(), hop_headers.end(),
+                       [&](std::string_view hop) { return same_header(hop, name); });
+}
+
+std::string header_value(const std::vector<http_header>& headers, std::string_view name) {
+    const auto found = std::find_if(headers.begin(), headers.end(),
+                                    [&](const http_header& header) { return same_header(header.name, name); });
+    return found == headers.end() ? std::string() : found->value;
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/machine/node.cpp
@@ -0,0 +1,221 @@
+#include "waxwingfall/machine/node.h"
+
+#include <cassert>
+
+#include "waxwingfall/contract/snapshot.h"
+#include "waxwingfall/support/digest.h"
+
+namespace waxwingfall {
+
+namespace {
+
+constexpr milliseconds tick_period{50};
+constexpr milliseconds pause_to_notice{2000};
+constexpr milliseconds housekeeping_period{5000};
+constexpr milliseconds idle_peer_limit{60'000};
+
+event_id event_of(const member_change& change) {
+    switch (change.now.state) {
+    case member_state::suspect:
+        return event_id::member_suspected;
+    case member_state::leaving:
+        return event_id::member_left;
+    case member_state::dead:
+        return event_id::member_died;
+    case member_state::alive:
+        return change.before ? event_id::member_returned : event_id::member_joined;
+    }
+    return event_id::member_joined;
+}
+
+} // namespace
+
+node::node(const event_loop& loop, const node_settings& settings, event_log& log, std::uint64_t seed,
+           std::function<void()> on_stopped)
+    : context_(loop, settings, log, seed), on_stopped_(std::move(on_stopped)), proxy_(context_), gate_(context_),
+      platform_(context_, [this](zone_effects effects) { apply(std::move(effects)); }),
+      admin_(context_, {[this] { return proxy_.open_calls(); }, [this] { return gate_.open_requests(); },
+                        [this] { return platform_.is_reachable(); }, [this] { return gate_.worker_is_healthy(); }}) {
+    const ip_address& control = settings.control;
+    context_.link = std::make_unique<message_link>(loop, control.host + ":" + std::to_string(control.port),
+                                                   [this](const wire::frame& frame) { handle(frame); });
+    last_tick_ = monotonic_now();
+    next_housekeeping_ = last_tick_;
+    ticker_ = loop_event::every(loop, tick_period, [this] { tick(); });
+    log.write(event_id::node_started, wall_now(),
+              {{"data_centre", settings.data_centre}, {"service", settings.service}});
+}
+
+void node::handle(const wire::frame& frame) {
+    const time_point now = monotonic_now();
+    observe_clock(context_.log.clock(), frame.clock(), wall_now());
+    note_pause(now);
+    if (frame.body_case() >= wire::frame::kClaim) {
+        if (frame.environment() == context_.settings.environment) {
+            handle_call_frame(frame, now);
+        }
+        return;
+    }
+    // An answer to a probe that was sent after a pause shows what the others know now.
+    const bool is_fresh_answer =
+        frame.has_ack() && context_.control.nodes.probes.contains(frame.ack().sequence());
+    apply(handle_frame(context_.control, frame, now, context_.random));
+    if (is_fresh_answer) {
+        confirm_owner(context_.records, frame.ack().ledger().version());
+    }
+}
+
+void node::handle_call_frame(const wire::frame& frame, time_point now) {
+    const membership& nodes = context_.control.nodes;
+    ledger& records = context_.records;
+    switch (frame.body_case()) {
+    case wire::frame::kClaim:
+        send_all(context_, handle_claim(records, frame.claim(), frame.reply_to(), nodes, now, wall_now()));
+        break;
+    case wire::frame::kSettle:
+        send_all(context_, handle_settle(records, frame.settle(), frame.reply_to(), nodes));
+        break;
+    case wire::frame::kReplicate:
+        send_all(context_, handle_replicate(records, frame.replicate(), frame.reply_to()));
+        break;
+    case wire::frame::kReplicated:
+        send_all(context_, handle_replicated(records, frame.replicated()));
+        break;
+    case wire::frame::kClaimAnswer: {
+        claimant_effects effects =
+            handle_claim_answer(context_.claims, frame.claim_answer(), records.map, nodes, now);
+        send_all(context_, std::move(effects.messages));
+        proxy_.handle_claims(effects);
+        break;
+    }
+    case wire::frame::kQuarantine:
+        spread_crash(context_, frame.quarantine().fingerprint(), frame.quarantine().worker(), now);
+        break;
+    default:
+        break;
+    }
+}
+
+void node::apply(zone_effects effects) {
+    const time_point now = monotonic_now();
+    send_all(context_, std::move(effects.messages));
+    for (const member_change& change : effects.changes) {
+        note_change(change, now);
+    }
+    if (effects.contract_enforced) {
+        enforce();
+    }
+    if (effects.contract_refused) {
+        const refused_content& refused = *context_.control.contracts.refused;
+        context_.log.write(event_id::contract_refused, wall_now(),
+                           {{"version", std::to_string(refused.mark.version)}, {"reason", refused.reason}});
+    }
+    if (effects.ledger_changed) {
+        adopt_ledger();
+    }
+    if (effects.conflict) {
+        context_.log.write(event_id::version_conflict, wall_now(),
+                           {{"version", std::to_string(context_.control.contracts.held.mark.version)}});
+    }
+    if (effects.reports_changed) {
+        platform_.note_reports();
+    }
+}
+
+void node::enforce() {
+    const marked_content& enforced = context_.control.contracts.enforced;
+    auto content = decode_contract(enforced.bytes);
+    assert(content && "only content that decodes is enforced");
+    context_.in_force = std::make_shared<const contract>(std::move(*content));
+    context_.version = enforced.mark.version;
+    context_.log.write(
+        event_id::contract_enforced, wall_now(),
+        {{"version", std::to_string(enforced.mark.version)}, {"digest", to_hex(enforced.mark.digest)}});
+}
+
+void node::adopt_ledger() {
+    const auto map = decode_ledger_map(context_.control.ledgers.enforced.bytes);
+    if (!map) {
+        return;
+    }
+    adopt_ledger_map(context_.records, *map, context_.control.nodes.self.id, monotonic_now(), wall_now());
+    context_.log.write(event_id::ledger_map_adopted, wall_now(), {{"map", std::to_string(map->version)}});
+}
+
+void node::note_change(const member_change& change, time_point now) {
+    update_endpoint(context_.routing, change.now, now);
+    if (change.before && *change.before == change.now.state) {
+        return;
+    }
+    context_.log.write(event_of(change), wall_now(),
+                       {{"member", change.now.name}, {"incarnation", std::to_string(change.now.incarnation)}});
+}
+
+void node::note_pause(time_point now) {
+    const auto gap = elapsed_ms(last_tick_, now);
+    if (gap > pause_to_notice.count()) {
+        last_tick_ = now;
+        fence_owner(context_.records);
+        // Answers to probes of before the pause may be waiting; they say nothing about the present.
+        context_.control.nodes.probes.clear();
+        context_.log.write(event_id::process_paused, wall_now(), {{"ms", std::to_string(gap)}});
+    }
+}
+
+void node::tick() {
+    const time_point now = monotonic_now();
+    note_pause(now);
+    last_tick_ = now;
+    apply(tick_zone(context_.control, now, context_.random));
+    const membership& nodes = context_.control.nodes;
+    send_all(context_, tick_ledger(context_.records, nodes, now, wall_now()));
+    claimant_effects claims = tick_claimant(context_.claims, context_.records.map, nodes, now);
+    send_all(context_, std::move(claims.messages));
+    proxy_.handle_claims(claims);
+    platform_.tick(now);
+    if (now >= next_housekeeping_) {
+        next_housekeeping_ = now + housekeeping_period;
+        context_.link->close_idle(now, idle_peer_limit);
+        const std::uint64_t refused = context_.link->counts().frames_refused;
+        if (refused != frames_refused_) {
+            context_.log.write(event_id::frame_refused, wall_now(),
+                               {{"count", std::to_string(refused - frames_refused_)}});
+            frames_refused_ = refused;
+        }
+    }
+    if (context_.leaving) {
+        review_leaving(now);
+    }
+}
+
+void node::leave() {
+    if (context_.leaving) {
+        return;
+    }
+    const time_point now = monotonic_now();
+    context_.leaving = true;
+    leave_started_ = now;
+    context_.log.write(event_id::node_leaving, wall_now(), {});
+    apply(begin_leaving(context_.control, now));
+    update_endpoint(context_.routing, context_.control.nodes.self, now);
+}
+
+void node::review_leaving(time_point now) {
+    const node_settings& settings = context_.settings;
+    const auto since = now - leave_started_;
+    if (since < settings.leave_notice) {
+        return;
+    }
+    gate_.close();
+    proxy_.stop_accepting();
+    const bool is_idle = proxy_.open_calls() == 0 && gate_.open_requests() == 0 && context_.claims.settling.empty();
+    const bool handed_over = owns_nothing(context_.records.map, context_.control.nodes.self.id);
+    if ((is_idle && handed_over) || since > settings.leave_timeout) {
+        context_.log.write(event_id::node_stopped, wall_now(),
+                           {{"open_calls", std::to_string(proxy_.open_calls())},
+                            {"handed_over", handed_over ? "yes" : "no"}});
+        on_stopped_();
+    }
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/machine/node_context.cpp
@@ -0,0 +1,81 @@
+#include "waxwingfall/machine/node_context.h"
+
+#include "waxwingfall/contract/snapshot.h"
+#include "waxwingfall/support/digest.h"
+
+namespace waxwingfall {
+
+namespace {
+
+std::string as_text(const ip_address& address) {
+    return address.host + ":" + std::to_string(address.port);
+}
+
+content_rules contract_rules() {
+    return {why_refused, make_delta, apply_delta};
+}
+
+} // namespace
+
+member self_record(const node_settings& settings) {
+    member self;
+    self.id = stable_hash(settings.name);
+    self.name = settings.name;
+    self.data_centre = settings.data_centre;
+    self.region = settings.region;
+    self.service = settings.service;
+    self.control_address = as_text(settings.control);
+    self.inbound_address = as_text(settings.inbound);
+    self.slots = settings.slots;
+    // Higher than that of any earlier process of this name; refutation mends a clock that went back.
+    self.incarnation = wall_now();
+    return self;
+}
+
+node_context::node_context(const event_loop& event_loop, const node_settings& node_settings, event_log& events,
+                           std::uint64_t seed)
+    : loop(event_loop), settings(node_settings), log(events), random(seed),
+      control(start_zone(node_settings.zone, node_settings.environment, self_record(node_settings),
+                         node_settings.peers, contract_rules(), monotonic_now())) {
+    routing.policy = settings.routing;
+    routing.data_centre = settings.data_centre;
+    routing.region = settings.region;
+    records.policy.takeover_delay = settings.ledger_map.takeover_delay;
+    update_endpoint(routing, control.nodes.self, monotonic_now());
+}
+
+void send_all(node_context& node, std::vector<outgoing> messages) {
+    for (outgoing& message : messages) {
+        wire::frame& frame = message.frame;
+        frame.set_environment(node.settings.environment);
+        frame.set_reply_to(node.control.nodes.self.control_address);
+        frame.set_sender(node.control.nodes.self.id);
+        frame.set_clock(tick_clock(node.log.clock(), wall_now()));
+        node.link->send(message.address, frame);
+    }
+}
+
+void spread_crash(node_context& node, const std::string& fingerprint, member_id worker, time_point now) {
+    if (!note_crash(node.crashes, fingerprint, worker, now)) {
+        return;
+    }
+    wire::frame frame;
+    frame.mutable_quarantine()->set_fingerprint(fingerprint);
+    frame.mutable_quarantine()->set_worker(worker);
+    std::vector<outgoing> messages;
+    const membership& nodes = node.control.nodes;
+    std::vector<member_id> targets = fingers(nodes);
+    if (own_bridge_rank(nodes)) {
+        const auto remote = remote_bridges(nodes);
+        targets.insert(targets.end(), remote.begin(), remote.end());
+    }
+    for (const member_id target : targets) {
+        messages.push_back({nodes.members.at(target).control_address, frame});
+    }
+    send_all(node, std::move(messages));
+    if (crashes_of(node.crashes, fingerprint, now) == node.crashes.policy.crashes_to_refuse) {
+        node.log.write(event_id::request_quarantined, wall_now(), {{"fingerprint", to_hex(fingerprint)}});
+    }
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/machine/settings.cpp
@@ -0,0 +1,166 @@
+#include "waxwingfall/machine/settings.h"
+
+#include <boost/leaf/error.hpp>
+
+#include "waxwingfall/support/yaml_tree.h"
+
+namespace waxwingfall {
+
+namespace {
+
+constexpr std::uint32_t max_slots = 10'000;
+constexpr std::uint32_t max_connections = 10'000;
+constexpr std::uint32_t max_period_ms = 600'000;
+constexpr std::uint32_t min_body_bytes = 1'024;
+constexpr std::uint32_t max_body_limit = 8'388'608;
+
+std::string as_text(const ip_address& address) {
+    return address.host + ":" + std::to_string(address.port);
+}
+
+ip_address read_address(yaml_reader& reader, const yaml_value& map, std::string_view key) {
+    const std::string text = reader.text(map, key, true);
+    const yaml_value* value = reader.child(map, key, false);
+    const auto address = parse_address(text);
+    if (!address && value != nullptr && !text.empty()) {
+        reader.report(error_kind::wrong_type, *value,
+                      "'" + std::string(key) + "' must be an IPv4 address and a port, as in 127.0.0.1:8000");
+    }
+    return address.value_or(ip_address{});
+}
+
+milliseconds read_ms(yaml_reader& reader, const yaml_value& map, std::string_view key, std::uint32_t low,
+                     milliseconds fallback) {
+    return milliseconds(
+        reader.number(map, key, low, max_period_ms, static_cast<std::uint32_t>(fallback.count())));
+}
+
+void read_node(yaml_reader& reader, const yaml_value& node, node_settings& settings) {
+    if (!reader.expect_map(node, "'node'", {"name", "data_centre", "region", "environment"})) {
+        return;
+    }
+    settings.name = reader.text(node, "name", true);
+    settings.data_centre = reader.text(node, "data_centre", true);
+    settings.region = reader.text(node, "region", true);
+    settings.environment = reader.text(node, "environment", true);
+}
+
+void read_listen(yaml_reader& reader, const yaml_value& listen, node_settings& settings) {
+    if (!reader.expect_map(listen, "'listen'", {"calls", "inbound", "control", "admin"})) {
+        return;
+    }
+    settings.calls = read_address(reader, listen, "calls");
+    settings.inbound = read_address(reader, listen, "inbound");
+    settings.control = read_address(reader, listen, "control");
+    settings.admin = read_address(reader, listen, "admin");
+}
+
+void read_worker(yaml_reader& reader, const yaml_value& worker, node_settings& settings) {
+    if (!reader.expect_map(worker, "'worker'", {"service", "address", "slots", "connections", "probe_period_ms"})) {
+        return;
+    }
+    settings.service = reader.text(worker, "service", true);
+    settings.worker = read_address(reader, worker, "address");
+    settings.slots = reader.number(worker, "slots", 1, max_slots, std::nullopt);
+    settings.connections = reader.number(worker, "connections", 1, max_connections, settings.connections);
+    settings.probe_period = read_ms(reader, worker, "probe_period_ms", 100, settings.probe_period);
+}
+
+void read_limits(yaml_reader& reader, const yaml_value& limits, node_settings& settings) {
+    if (!reader.expect_map(limits, "'limits'",
+                           {"max_body_bytes", "max_header_bytes", "caller_timeout_ms", "leave_notice_ms",
+                            "leave_timeout_ms"})) {
+        return;
+    }
+    settings.max_body_bytes =
+        reader.number(limits, "max_body_bytes", min_body_bytes, max_body_limit, settings.max_body_bytes);
+    settings.max_header_bytes =
+        reader.number(limits, "max_header_bytes", min_body_bytes, max_body_limit, settings.max_header_bytes);
+    settings.caller_timeout = read_ms(reader, limits, "caller_timeout_ms", 100, settings.caller_timeout);
+    settings.leave_notice = read_ms(reader, limits, "leave_notice_ms", 0, settings.leave_notice);
+    settings.leave_timeout = read_ms(reader, limits, "leave_timeout_ms", 100, settings.leave_timeout);
+}
+
+/// What a deployment weighs more: time until a change is in force, or bytes on its links.
+void read_preference(yaml_reader& reader, const yaml_value& policy, zone_policy& zone) {
+    const std::string preference = reader.text(policy, "prefer", false, "convergence");
+    const yaml_value* value = reader.child(policy, "prefer", false);
+    if (preference != "convergence" && preference != "bytes" && value != nullptr) {
+        reader.report(error_kind::out_of_range, *value, "'prefer' must be convergence or bytes");
+    }
+    zone.distribution.eager = preference == "convergence";
+}
+
+void read_policy(yaml_reader& reader, const yaml_value& policy, node_settings& settings) {
+    if (!reader.expect_map(policy, "'policy'",
+                           {"prefer", "deltas", "membership_probe_ms", "pick", "retry_budget", "takeover_delay_ms"})) {
+        return;
+    }
+    read_preference(reader, policy, settings.zone);
+    settings.zone.distribution.use_deltas = reader.flag(policy, "deltas", true);
+    settings.retry_budget = reader.flag(policy, "retry_budget", true);
+    settings.zone.membership.probe_period =
+        read_ms(reader, policy, "membership_probe_ms", 50, settings.zone.membership.probe_period);
+    settings.ledger_map.takeover_delay =
+        read_ms(reader, policy, "takeover_delay_ms", 3000, settings.ledger_map.takeover_delay);
+    const std::string pick = reader.text(policy, "pick", false, "two_choices");
+    const yaml_value* value = reader.child(policy, "pick", false);
+    if (pick != "two_choices" && pick != "round_robin" && value != nullptr) {
+        reader.report(error_kind::out_of_range, *value, "'pick' must be two_choices or round_robin");
+    }
+    settings.routing.rule = pick == "round_robin" ? pick_rule::round_robin : pick_rule::two_choices;
+}
+
+void read_peers(yaml_reader& reader, const yaml_value& root, node_settings& settings) {
+    for (const yaml_value& item : reader.texts(root, "peers")) {
+        const auto address = parse_address(item.scalar);
+        if (!address) {
+            reader.report(error_kind::wrong_type, item, "each peer must be an IPv4 address and a port");
+            continue;
+        }
+        settings.peers.push_back(as_text(*address));
+    }
+}
+
+void read_root(yaml_reader& reader, const yaml_value& root, node_settings& settings) {
+    if (!reader.expect_map(root, "the settings",
+                           {"node", "listen", "worker", "platform", "peers", "log", "limits", "policy"})) {
+        return;
+    }
+    if (const yaml_value* node = reader.child(root, "node", true)) {
+        read_node(reader, *node, settings);
+    }
+    if (const yaml_value* listen = reader.child(root, "listen", true)) {
+        read_listen(reader, *listen, settings);
+    }
+    if (const yaml_value* worker = reader.child(root, "worker", true)) {
+        read_worker(reader, *worker, settings);
+    }
+    if (const yaml_value* limits = reader.child(root, "limits", false)) {
+        read_limits(reader, *limits, settings);
+    }
+    if (const yaml_value* policy = reader.child(root, "policy", false)) {
+        read_policy(reader, *policy, settings);
+    }
+    settings.platform = read_address(reader, root, "platform");
+    settings.log_path = reader.text(root, "log", false);
+    read_peers(reader, root, settings);
+}
+
+} // namespace
+
+boost::leaf::result<node_settings> parse_settings(std::string_view text, const std::string& file) {
+    std::vector<fault> faults;
+    const yaml_value root = parse_yaml(text, file, faults);
+    node_settings settings;
+    if (faults.empty()) {
+        yaml_reader reader(file, faults);
+        read_root(reader, root, settings);
+    }
+    if (!faults.empty()) {
+        return boost::leaf::new_error(fault_list{std::move(faults)});
+    }
+    return settings;
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/machine/worker_gate.cpp
@@ -0,0 +1,274 @@
+#include "waxwingfall/machine/worker_gate.h"
+
+#include <algorithm>
+
+namespace waxwingfall {
+
+namespace {
+
+constexpr milliseconds sweep_period{20};
+constexpr milliseconds connection_reuse{5000};
+constexpr milliseconds longest_call{600'000};
+constexpr milliseconds probe_timeout{1000};
+constexpr std::uint32_t probes_to_distrust = 3;
+constexpr std::uint32_t default_queue = 24;
+constexpr int status_unavailable = 503;
+constexpr int status_ok = 200;
+
+} // namespace
+
+struct worker_gate::request {
+    received_request received;
+    std::unique_ptr<downstream> caller;
+    time_point deadline;
+    time_point started;
+    std::uint64_t upstream = 0;
+    bool running = false;
+    bool worker_refused = false;
+    bool timed_out = false;
+};
+
+worker_gate::worker_gate(node_context& node)
+    : node_(node), worker_(node.loop, connection_reuse),
+      server_(node.loop, node.settings.inbound, [this](evhttp_request* raw) { receive(raw); }),
+      sweep_(loop_event::every(node.loop, sweep_period, [this] { sweep(); })),
+      probe_(loop_event::every(node.loop, node.settings.probe_period, [this] { probe_worker(); })) {
+    admission_.slots = node.settings.slots;
+    admission_.queue_limit = default_queue;
+    evhttp_set_max_body_size(server_.raw(), node.settings.max_body_bytes);
+    evhttp_set_max_headers_size(server_.raw(), node.settings.max_header_bytes * 2);
+    evhttp_set_allowed_methods(server_.raw(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+                                                  EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+}
+
+worker_gate::~worker_gate() = default;
+
+void worker_gate::follow_contract() {
+    const service_contract* own =
+        node_.in_force ? find_service(*node_.in_force, node_.settings.service) : nullptr;
+    admission_.slots = node_.settings.slots;
+    admission_.queue_limit = default_queue;
+    if (own != nullptr) {
+        admission_.queue_limit = own->queue;
+        if (own->in_flight > 0) {
+            admission_.slots = std::min(admission_.slots, own->in_flight);
+        }
+    }
+}
+
+std::vector<http_header> worker_gate::with_load(std::vector<http_header> headers) const {
+    headers.push_back({call_header::load, std::to_string(static_cast<int>(load_of(admission_)))});
+    return headers;
+}
+
+void worker_gate::receive(evhttp_request* raw) {
+    const time_point now = monotonic_now();
+    const std::uint64_t id = next_id_++;
+    auto made = std::make_unique<request>();
+    made->caller = std::make_unique<downstream>(raw);
+    const auto fault = read_request(raw, made->received);
+    made->deadline = read_deadline(made->received.request.headers, longest_call, now);
+    made->started = now;
+    const waiting_request waiting{id, made->deadline};
+    const std::string fingerprint = made->received.fingerprint;
+    requests_.emplace(id, std::move(made));
+    follow_contract();
+    if (fault) {
+        refuse(id, *fault);
+        return;
+    }
+    if (is_quarantined(node_.crashes, fingerprint, now)) {
+        refuse(id, error_kind::crash_quarantined);
+        return;
+    }
+    switch (admit(admission_, waiting, now)) {
+    case admission_verdict::run:
+        run(id);
+        break;
+    case admission_verdict::wait:
+        break;
+    case admission_verdict::refuse_overloaded:
+        refuse(id, error_kind::overloaded);
+        break;
+    case admission_verdict::refuse_deadline:
+        refuse(id, error_kind::deadline_exceeded);
+        break;
+    case admission_verdict::refuse_leaving:
+        refuse(id, error_kind::leaving);
+        break;
+    }
+}
+
+void worker_gate::run(std::uint64_t id) {
+    request& started = *requests_.at(id);
+    const time_point now = monotonic_now();
+    started.running = true;
+    started.started = now;
+    node_.counts.admitted += 1;
+    http_request sent = started.received.request;
+    const auto left = std::max<std::int64_t>(1, elapsed_ms(now, started.deadline));
+    set_header(sent.headers, call_header::deadline_ms, std::to_string(left));
+    upstream_callbacks callbacks;
+    callbacks.on_headers = [this, id](int status, const std::vector<http_header>& headers) {
+        on_headers(id, status, headers);
+    };
+    callbacks.on_data = [this, id](evbuffer* data) { on_data(id, data); };
+    callbacks.on_end = [this, id](upstream_end end) { on_end(id, end); };
+    started.upstream = worker_.send(node_.settings.worker, sent, milliseconds(left), std::move(callbacks));
+}
+
+void worker_gate::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
+    request& running = *requests_.at(id);
+    running.worker_refused = status == status_unavailable && !header_value(headers, call_header::not_run).empty();
+    auto passed = with_load(passable_headers(headers));
+    const outcome result = running.worker_refused ? outcome::not_run : outcome::done;
+    passed.push_back({call_header::outcome, std::string(outcome_name(result))});
+    if (running.worker_refused) {
+        passed.push_back({call_header::reason, std::string(answer_of(error_kind::overloaded).name)});
+    }
+    running.caller->begin(status, passed);
+}
+
+void worker_gate::on_data(std::uint64_t id, evbuffer* data) {
+    request& running = *requests_.at(id);
+    const std::uint64_t upstream = running.upstream;
+    const bool is_full = running.caller->write(data, [this, upstream] { worker_.resume(upstream); });
+    if (is_full) {
+        worker_.pause(upstream);
+    }
+}
+
+void worker_gate::on_end(std::uint64_t id, upstream_end end) {
+    request& ended = *requests_.at(id);
+    if (end == upstream_end::complete) {
+        failed_probes_ = 0;
+        if (!ended.caller->has_begun()) {
+            ended.caller->begin(status_ok, with_load({}));
+        }
+        ended.caller->end();
+        remove(id);
+        return;
+    }
+    if (end == upstream_end::not_connected) {
+        probe_worker();
+        refuse(id, error_kind::worker_unreachable);
+        return;
+    }
+    broken_fingerprints_.push_back(ended.received.fingerprint);
+    probe_worker();
+    fail(id, error_kind::worker_failed);
+}
+
+void worker_gate::refuse(std::uint64_t id, error_kind kind) {
+    node_.counts.refused_by_gate += 1;
+    fail(id, kind);
+}
+
+void worker_gate::fail(std::uint64_t id, error_kind kind) {
+    request& failed = *requests_.at(id);
+    // After the first piece, the only honest answer is a broken connection: destroying the answer does that.
+    if (!failed.caller->has_begun()) {
+        failed.caller->reply(answer_of(kind).http_status, error_body(kind), with_load(error_headers(kind)));
+    }
+    remove(id);
+}
+
+void worker_gate::remove(std::uint64_t id) {
+    const auto found = requests_.find(id);
+    const std::unique_ptr<request> removed = std::move(found->second);
+    requests_.erase(found);
+    const time_point now = monotonic_now();
+    if (removed->running) {
+        const milliseconds ran(std::max<std::int64_t>(1, elapsed_ms(removed->started, now)));
+        apply(release_slot(admission_, ran, now));
+    } else {
+        abandon(admission_, id);
+    }
+}
+
+void worker_gate::apply(const admission_turn& turn) {
+    for (const std::uint64_t id : turn.expired) {
+        refuse(id, error_kind::deadline_exceeded);
+    }
+    for (const std::uint64_t id : turn.run) {
+        run(id);
+    }
+}
+
+void worker_gate::sweep() {
+    const time_point now = monotonic_now();
+    std::vector<std::uint64_t> gone;
+    std::vector<std::uint64_t> late;
+    for (const auto& [id, open] : requests_) {
+        if (open->caller->is_gone()) {
+            gone.push_back(id);
+        } else if (open->running && now >= open->deadline) {
+            late.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : gone) {
+        node_.counts.caller_gone += 1;
+        worker_.cancel(requests_.at(id)->upstream);
+        remove(id);
+    }
+    for (const std::uint64_t id : late) {
+        if (requests_.contains(id)) {
+            worker_.cancel(requests_.at(id)->upstream);
+            fail(id, error_kind::outcome_unknown);
+        }
+    }
+    apply(review_queue(admission_, now));
+    worker_.close_idle(now);
+}
+
+void worker_gate::probe_worker() {
+    const http_request health{EVHTTP_REQ_GET, "/health", {}, {}};
+    exchange(node_.loop, node_.settings.worker, health, probe_timeout,
+             [this](const http_answer& answer) { note_probe(answer); });
+}
+
+void worker_gate::note_probe(const http_answer& answer) {
+    const time_point now = monotonic_now();
+    const std::vector<std::string> broken = std::move(broken_fingerprints_);
+    broken_fingerprints_.clear();
+    if (answer.how == http_answer::delivery::not_connected) {
+        // The worker is gone, and so the requests whose connections broke were running on it when it went.
+        for (const std::string& fingerprint : broken) {
+            spread_crash(node_, fingerprint, node_.control.nodes.self.id, now);
+        }
+        if (!broken.empty()) {
+            node_.log.write(event_id::worker_crashed, wall_now(), {{"requests", std::to_string(broken.size())}});
+        }
+        set_health(false, "unreachable");
+        return;
+    }
+    if (answer.how == http_answer::delivery::answered && answer.status == status_ok) {
+        failed_probes_ = 0;
+        set_health(true, "healthy");
+        return;
+    }
+    if (answer.how == http_answer::delivery::answered && answer.body.starts_with("draining")) {
+        set_health(false, "draining");
+        return;
+    }
+    // A health endpoint may lag or mislead: it is believed only if it insists and no request ends well meanwhile.
+    failed_probes_ += 1;
+    if (failed_probes_ >= probes_to_distrust) {
+        set_health(false, "unhealthy");
+    }
+}
+
+void worker_gate::set_health(bool healthy, const std::string& why) {
+    if (healthy == healthy_ || node_.leaving) {
+        return;
+    }
+    healthy_ = healthy;
+    node_.log.write(event_id::worker_health_changed, wall_now(), {{"health", why}});
+    const time_point now = monotonic_now();
+    membership& nodes = node_.control.nodes;
+    nodes.self.slots = healthy ? node_.settings.slots : 0;
+    send_all(node_, set_own_state(nodes, member_state::alive, now).messages);
+    update_endpoint(node_.routing, nodes.self, now);
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/platform/head.cpp
@@ -0,0 +1,173 @@
+#include "waxwingfall/platform/head.h"
+
+#include <algorithm>
+
+#include <boost/leaf/error.hpp>
+
+#include "waxwingfall/support/digest.h"
+
+namespace waxwingfall {
+
+namespace {
+
+/// Entries kept in the head: enough to recognise an operation whose answer was lost long after, and for `history`.
+constexpr std::size_t kept_versions = 32;
+
+/// Reports older than this say nothing about the present.
+constexpr wall_ms fresh_report_ms = 30'000;
+
+accepted_version make_version(const environment_head& head, const proposal& wanted, wall_ms now) {
+    accepted_version made;
+    made.mark = {newest(head).mark.version + 1, wanted.digest};
+    made.operation = wanted.operation;
+    made.author = wanted.author;
+    made.source_revision = wanted.source_revision;
+    made.accepted_at = now;
+    made.promoted_from = wanted.promoted_from;
+    made.promoted_version = wanted.promoted_version;
+    return made;
+}
+
+std::string why_report_objects(const wire::zone_report& report, std::uint64_t version, wall_ms now,
+                               milliseconds soak, double max_failed_percent) {
+    const std::string where = "data centre " + report.data_centre() + " ";
+    if (report.reported_at_ms() + fresh_report_ms < now) {
+        return where + "has not reported for " + std::to_string((now - report.reported_at_ms()) / 1000) + " s";
+    }
+    if (report.rejections_size() > 0) {
+        const wire::rejection& first = report.rejections(0);
+        return where + "node " + first.node() + " refused it: " + first.reason();
+    }
+    if (report.version() != version || report.nodes_enforcing() < report.nodes()) {
+        return where + "enforces it on " +
+               std::to_string(report.version() == version ? report.nodes_enforcing() : 0) + " of " +
+               std::to_string(report.nodes()) + " nodes";
+    }
+    const wall_ms since = report.all_enforced_since_ms();
+    if (since == 0 || since + static_cast<wall_ms>(soak.count()) > now) {
+        return where + "has enforced it for less than " + std::to_string(soak.count()) + " ms";
+    }
+    constexpr double percent = 100.0;
+    if (static_cast<double>(report.failed_calls()) * percent > max_failed_percent * static_cast<double>(report.calls())) {
+        return where + "failed " + std::to_string(report.failed_calls()) + " of " + std::to_string(report.calls()) +
+               " calls";
+    }
+    return {};
+}
+
+} // namespace
+
+proposal_verdict judge_proposal(const environment_head& head, const proposal& wanted, wall_ms now) {
+    const auto own = std::find_if(head.versions.begin(), head.versions.end(), [&](const accepted_version& version) {
+        return version.operation == wanted.operation;
+    });
+    if (own != head.versions.end()) {
+        return {proposal_verdict::action::own_write, {}, *own};
+    }
+    const accepted_version current = newest(head);
+    if (wanted.expected_version && *wanted.expected_version != current.mark.version) {
+        return {proposal_verdict::action::conflict, {}, current};
+    }
+    if (current.mark.version != 0 && current.mark.digest == wanted.digest) {
+        return {proposal_verdict::action::unchanged, {}, current};
+    }
+    proposal_verdict verdict{proposal_verdict::action::write, head, make_version(head, wanted, now)};
+    verdict.next.versions.push_back(verdict.current);
+    if (verdict.next.versions.size() > kept_versions) {
+        verdict.next.versions.erase(verdict.next.versions.begin());
+    }
+    return verdict;
+}
+
+std::string why_not_promotable(const environment_head& head, std::uint64_t version,
+                               const std::vector<wire::zone_report>& reports, wall_ms now, milliseconds soak,
+                               double max_failed_percent) {
+    const accepted_version current = newest(head);
+    if (current.mark.version != version) {
+        return "version " + std::to_string(version) + " is not the one in force; version " +
+               std::to_string(current.mark.version) + " is";
+    }
+    if (reports.empty()) {
+        return "no data centre reports that it enforces version " + std::to_string(version);
+    }
+    for (const wire::zone_report& report : reports) {
+        if (auto reason = why_report_objects(report, version, now, soak, max_failed_percent); !reason.empty()) {
+            return reason;
+        }
+    }
+    return {};
+}
+
+accepted_version newest(const environment_head& head) {
+    return head.versions.empty() ? accepted_version{} : head.versions.back();
+}
+
+std::string encode_head(const environment_head& head) {
+    wire::head out;
+    for (const accepted_version& version : head.versions) {
+        wire::head_entry& entry = *out.add_entries();
+        entry.set_version(version.mark.version);
+        entry.set_digest(version.mark.digest);
+        entry.set_operation(version.operation);
+        entry.set_author(version.author);
+        entry.set_source_revision(version.source_revision);
+        entry.set_accepted_at_ms(version.accepted_at);
+        entry.set_promoted_from(version.promoted_from);
+        entry.set_promoted_version(version.promoted_version);
+    }
+    return out.SerializeAsString();
+}
+
+boost::leaf::result<environment_head> decode_head(std::string_view bytes) {
+    wire::head in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return boost::leaf::new_error(error_kind::platform_corrupt);
+    }
+    environment_head head;
+    for (const wire::head_entry& entry : in.entries()) {
+        head.versions.push_back({{entry.version(), entry.digest()},
+                                 entry.operation(),
+                                 entry.author(),
+                                 entry.source_revision(),
+                                 entry.accepted_at_ms(),
+                                 entry.promoted_from(),
+                                 entry.promoted_version()});
+    }
+    const auto by_version = [](const accepted_version& left, const accepted_version& right) {
+        return left.mark.version >= right.mark.version;
+    };
+    if (std::adjacent_find(head.versions.begin(), head.versions.end(), by_version) != head.versions.end()) {
+        return boost::leaf::new_error(error_kind::platform_corrupt);
+    }
+    return head;
+}
+
+std::string head_key(const std::string& environment) {
+    return "contract/" + environment + "/head";
+}
+
+std::string body_key(const std::string& environment, const std::string& digest) {
+    return "contract/" + environment + "/body/" + to_hex(digest);
+}
+
+std::string ledger_key(const std::string& environment) {
+    return "ledger/" + environment;
+}
+
+std::string seed_prefix(const std::string& environment) {
+    return "seed/" + environment + "/";
+}
+
+std::string seed_key(const std::string& environment, const std::string& data_centre, std::size_t rank) {
+    return seed_prefix(environment) + data_centre + "/" + std::to_string(rank);
+}
+
+std::string report_prefix(const std::string& environment) {
+    return "report/" + environment + "/";
+}
+
+std::string report_key(const std::string& environment, const std::string& data_centre) {
+    return report_prefix(environment) + data_centre;
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/support/digest.cpp
@@ -0,0 +1,56 @@
+#include "waxwingfall/support/digest.h"
+
+#include <array>
+
+#include <openssl/sha.h>
+
+namespace waxwingfall {
+
+namespace {
+
+constexpr std::size_t digest_bytes = 16;
+
+std::array<unsigned char, SHA256_DIGEST_LENGTH> sha256(std::string_view content) {
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> full{};
+    SHA256(reinterpret_cast<const unsigned char*>(content.data()), content.size(), full.data());
+    return full;
+}
+
+} // namespace
+
+std::string digest_of(std::string_view content) {
+    const auto full = sha256(content);
+    return {full.begin(), full.begin() + digest_bytes};
+}
+
+std::uint64_t stable_hash(std::string_view content) {
+    constexpr std::uint64_t fnv_offset = 0xcbf29ce484222325U;
+    constexpr std::uint64_t fnv_prime = 0x100000001b3U;
+    std::uint64_t hash = fnv_offset;
+    for (const char letter : content) {
+        hash = (hash ^ static_cast<unsigned char>(letter)) * fnv_prime;
+    }
+    return mix_hash(hash, content.size());
+}
+
+std::uint64_t mix_hash(std::uint64_t left, std::uint64_t right) {
+    // The finalizer of SplitMix64 over both values.
+    std::uint64_t value = left + 0x9e3779b97f4a7c15U * (right + 1);
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31U);
+}
+
+std::string to_hex(std::string_view bytes) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(bytes.size() * 2);
+    for (const char letter : bytes) {
+        const auto byte = static_cast<unsigned char>(letter);
+        text += digits[byte >> 4U];
+        text += digits[byte & 0xfU];
+    }
+    return text;
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/support/error.cpp
@@ -0,0 +1,146 @@
+#include "waxwingfall/support/error.h"
+
+#include <array>
+#include <cassert>
+
+namespace waxwingfall {
+
+namespace {
+
+using enum error_kind;
+
+constexpr int exit_input = 1;
+constexpr int exit_usage = 2;
+constexpr int exit_conflict = 3;
+constexpr int exit_refused = 4;
+constexpr int exit_unavailable = 5;
+constexpr int exit_expired = 6;
+
+constexpr std::array table{
+    error_answer{syntax, "syntax", 0, outcome::not_applicable, exit_input, "the file is not well-formed YAML"},
+    error_answer{not_utf8, "not-utf8", 0, outcome::not_applicable, exit_input, "the file is not UTF-8 text"},
+    error_answer{too_large, "too-large", 0, outcome::not_applicable, exit_input, "the file is over one megabyte"},
+    error_answer{too_deep, "too-deep", 0, outcome::not_applicable, exit_input, "values are nested too deeply"},
+    error_answer{alias_refused, "alias-refused", 0, outcome::not_applicable, exit_input,
+                 "YAML anchors and aliases are not accepted"},
+    error_answer{duplicate_key, "duplicate-key", 0, outcome::not_applicable, exit_input, "a key stands twice"},
+    error_answer{unknown_key, "unknown-key", 0, outcome::not_applicable, exit_input, "the key is not known here"},
+    error_answer{missing_key, "missing-key", 0, outcome::not_applicable, exit_input, "a required key is absent"},
+    error_answer{wrong_type, "wrong-type", 0, outcome::not_applicable, exit_input, "the value has the wrong type"},
+    error_answer{out_of_range, "out-of-range", 0, outcome::not_applicable, exit_input,
+                 "the value is outside its range"},
+    error_answer{dangling_reference, "dangling-reference", 0, outcome::not_applicable, exit_input,
+                 "a name refers to nothing in the same document"},
+    error_answer{dependency_cycle, "dependency-cycle", 0, outcome::not_applicable, exit_input,
+                 "services depend on each other in a cycle"},
+    error_answer{overlapping_route, "overlapping-route", 0, outcome::not_applicable, exit_input,
+                 "two routes match the same requests"},
+    error_answer{usage, "usage", 0, outcome::not_applicable, exit_usage, "the command line is wrong"},
+    error_answer{file_unreadable, "file-unreadable", 0, outcome::not_applicable, exit_input,
+                 "the file can't be read"},
+    error_answer{version_conflict, "version-conflict", 0, outcome::not_applicable, exit_conflict,
+                 "another version was accepted first"},
+    error_answer{not_promotable, "not-promotable", 0, outcome::not_applicable, exit_refused,
+                 "the version has not behaved well in its environment"},
+    error_answer{no_such_version, "no-such-version", 0, outcome::not_applicable, exit_refused,
+                 "the environment has no such version"},
+    error_answer{wait_expired, "wait-expired", 0, outcome::not_applicable, exit_expired,
+                 "the version is not in force everywhere yet"},
+    error_answer{platform_unavailable, "platform-unavailable", 0, outcome::not_applicable, exit_unavailable,
+                 "the platform's key-value service does not answer"},
+    error_answer{platform_corrupt, "platform-corrupt", 0, outcome::not_applicable, exit_unavailable,
+                 "a value in the platform's key-value service is damaged"},
+    error_answer{digest_mismatch, "digest-mismatch", 0, outcome::not_applicable, exit_input,
+                 "content does not have the digest that was announced"},
+    error_answer{base_not_held, "base-not-held", 0, outcome::not_applicable, exit_input,
+                 "a delta is against content that this node does not hold"},
+    error_answer{malformed_request, "malformed-request", 400, outcome::not_run, exit_input,
+                 "the request is malformed"},
+    error_answer{body_too_large, "body-too-large", 413, outcome::not_run, exit_input,
+                 "the request's body is over the limit"},
+    error_answer{no_configuration, "no-configuration", 503, outcome::not_run, exit_unavailable,
+                 "this node has no accepted document yet"},
+    error_answer{no_route, "no-route", 404, outcome::not_run, exit_input, "no route matches the request"},
+    error_answer{no_endpoint, "no-endpoint", 503, outcome::not_run, exit_unavailable,
+                 "no worker of the service accepts work"},
+    error_answer{overloaded, "overloaded", 503, outcome::not_run, exit_unavailable, "the service is overloaded"},
+    error_answer{leaving, "leaving", 503, outcome::not_run, exit_unavailable, "the worker is shutting down"},
+    error_answer{deadline_exceeded, "deadline-exceeded", 504, outcome::not_run, exit_expired,
+                 "the request can't finish before its deadline"},
+    error_answer{missing_idempotency_key, "missing-idempotency-key", 400, outcome::not_run, exit_input,
+                 "the route needs an Idempotency-Key header"},
+    error_answer{bad_idempotency_key, "bad-idempotency-key", 400, outcome::not_run, exit_input,
+                 "the Idempotency-Key is not a UUID of version 7 with a plausible time"},
+    error_answer{idempotency_key_reused, "idempotency-key-reused", 422, outcome::not_run, exit_input,
+                 "the Idempotency-Key belongs to a different request"},
+    error_answer{key_expired, "key-expired", 409, outcome::unknown, exit_expired,
+                 "the Idempotency-Key is older than the records that are kept"},
+    error_answer{ledger_unavailable, "ledger-unavailable", 503, outcome::not_run, exit_unavailable,
+                 "the record of Idempotency-Keys is out of reach"},
+    error_answer{request_in_progress, "request-in-progress", 409, outcome::unknown, exit_refused,
+                 "the request with this Idempotency-Key is still running"},
+    error_answer{outcome_unknown, "outcome-unknown", 504, outcome::unknown, exit_refused,
+                 "the request may have run and will not be run again"},
+    error_answer{answer_not_kept, "answer-not-kept", 409, outcome::done, exit_refused,
+                 "the request ran once, and its answer was too large to keep"},
+    error_answer{crash_quarantined, "crash-quarantined", 422, outcome::not_run, exit_refused,
+                 "requests like this one crashed workers"},
+    error_answer{worker_unreachable, "worker-unreachable", 503, outcome::not_run, exit_unavailable,
+                 "the worker can't be reached"},
+    error_answer{worker_failed, "worker-failed", 502, outcome::unknown, exit_unavailable,
+                 "the worker failed while it ran the request"},
+    error_answer{caller_gone, "caller-gone", 0, outcome::unknown, exit_refused,
+                 "the caller closed its connection"},
+    error_answer{address_in_use, "address-in-use", 0, outcome::not_applicable, exit_unavailable,
+                 "a listening address can't be bound"},
+};
+
+constexpr bool rows_are_in_order() {
+    for (std::size_t index = 0; index < table.size(); ++index) {
+        if (static_cast<std::size_t>(table.at(index).kind) != index) {
+            return false;
+        }
+    }
+    return true;
+}
+static_assert(rows_are_in_order(), "each kind has its row at its own index");
+
+} // namespace
+
+std::span<const error_answer> error_table() {
+    return table;
+}
+
+const error_answer& answer_of(error_kind kind) {
+    const auto index = static_cast<std::size_t>(kind);
+    assert(index < table.size() && "each kind has a row");
+    return table.at(index);
+}
+
+std::string_view outcome_name(outcome result) {
+    switch (result) {
+    case outcome::not_applicable:
+        return "-";
+    case outcome::done:
+        return "done";
+    case outcome::not_run:
+        return "not-run";
+    case outcome::unknown:
+        return "unknown";
+    }
+    return "-";
+}
+
+std::string to_string(const fault& value) {
+    std::string text = value.place.file;
+    if (value.place.line > 0) {
+        text += ":" + std::to_string(value.place.line) + ":" + std::to_string(value.place.column);
+    }
+    text += ": ";
+    text += answer_of(value.kind).name;
+    text += ": ";
+    text += value.message;
+    return text;
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/zone/membership.cpp
@@ -0,0 +1,529 @@
+#include "waxwingfall/zone/membership.h"
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+
+#include "waxwingfall/support/digest.h"
+
+namespace waxwingfall {
+
+namespace {
+
+std::uint64_t stamp_hash(const member& value) {
+    if (value.state == member_state::dead) {
+        return 0;
+    }
+    return mix_hash(value.id, value.incarnation * 4 + static_cast<std::uint64_t>(value.state));
+}
+
+bool takes_messages(const member& value) {
+    return value.state != member_state::dead;
+}
+
+/// Puts a record into the table and keeps the hash in step.
+void store(membership& state, const member& record, time_point now) {
+    const auto known = state.members.find(record.id);
+    if (known != state.members.end()) {
+        state.table_hash -= stamp_hash(known->second);
+    }
+    state.table_hash += stamp_hash(record);
+    state.members.insert_or_assign(record.id, record);
+    state.state_since[record.id] = now;
+}
+
+void append(std::vector<outgoing>& to, std::vector<outgoing> more) {
+    std::move(more.begin(), more.end(), std::back_inserter(to));
+}
+
+void append(membership_effects& to, membership_effects more) {
+    append(to.messages, std::move(more.messages));
+    std::move(more.changes.begin(), more.changes.end(), std::back_inserter(to.changes));
+}
+
+/// Messages that carry `records` to this node's fingers, and across data centres if they arose in this one.
+std::vector<outgoing> pass_on(const membership& state, const std::vector<member>& records,
+                              const std::string& from_data_centre) {
+    if (records.empty()) {
+        return {};
+    }
+    wire::frame frame;
+    for (const member& record : records) {
+        *frame.mutable_rumour()->add_members() = to_wire(record);
+    }
+    std::vector<member_id> targets = fingers(state);
+    if (from_data_centre == state.self.data_centre && own_bridge_rank(state)) {
+        const auto remote = remote_bridges(state);
+        targets.insert(targets.end(), remote.begin(), remote.end());
+    }
+    std::vector<outgoing> messages;
+    for (const member_id target : targets) {
+        messages.push_back({state.members.at(target).control_address, frame});
+    }
+    return messages;
+}
+
+/// Raises the own incarnation above a false or outdated record of this node.
+void refute(membership& state, const member& heard, time_point now) {
+    state.self.incarnation = heard.incarnation + 1;
+    store(state, state.self, now);
+}
+
+membership_effects send_probe(membership& state, member_id target, time_point now) {
+    membership_effects effects;
+    const std::uint64_t sequence = state.next_sequence++;
+    state.probes[sequence] = {target, now, false};
+    wire::frame frame;
+    frame.mutable_ping()->set_sequence(sequence);
+    effects.messages.push_back({state.members.at(target).control_address, frame});
+    return effects;
+}
+
+/// Every period: the next node of the ring, and one finger in turn.
+membership_effects probe_ring(membership& state, time_point now) {
+    membership_effects effects;
+    const auto targets = fingers(state);
+    if (targets.empty()) {
+        return effects;
+    }
+    append(effects, send_probe(state, targets.front(), now));
+    if (targets.size() > 1) {
+        const std::size_t turn = 1 + state.finger_turn++ % (targets.size() - 1);
+        append(effects, send_probe(state, targets[turn], now));
+    }
+    return effects;
+}
+
+membership_effects probe_bridges(membership& state, time_point now) {
+    membership_effects effects;
+    if (!own_bridge_rank(state)) {
+        return effects;
+    }
+    for (const member_id target : remote_bridges(state)) {
+        append(effects, send_probe(state, target, now));
+    }
+    return effects;
+}
+
+membership_effects ask_others(const membership& state, std::uint64_t sequence, const probe& waiting,
+                              random_source& random) {
+    membership_effects effects;
+    auto helpers = reachable_in(state, state.self.data_centre);
+    std::erase(helpers, state.self.id);
+    std::erase(helpers, waiting.target);
+    std::shuffle(helpers.begin(), helpers.end(), random);
+    helpers.resize(std::min(helpers.size(), state.policy.indirect_probers));
+    for (const member_id helper : helpers) {
+        wire::frame frame;
+        frame.mutable_probe_request()->set_sequence(sequence);
+        frame.mutable_probe_request()->set_target_address(state.members.at(waiting.target).control_address);
+        effects.messages.push_back({state.members.at(helper).control_address, frame});
+    }
+    return effects;
+}
+
+membership_effects declare(membership& state, member_id id, member_state verdict, time_point now) {
+    member changed = state.members.at(id);
+    changed.state = verdict;
+    return merge_members(state, {changed}, state.self.data_centre, now);
+}
+
+/// Suspects a node that answered neither this node nor those that were asked to help. Only the nodes of a
+/// data centre judge its members: a cut between data centres must not empty either side's table.
+membership_effects judge_probes(membership& state, time_point now, random_source& random) {
+    membership_effects effects;
+    std::vector<member_id> failed;
+    for (auto entry = state.probes.begin(); entry != state.probes.end();) {
+        auto& [sequence, waiting] = *entry;
+        const auto target = state.members.find(waiting.target);
+        const bool local = target != state.members.end() && target->second.data_centre == state.self.data_centre;
+        const bool expired = now - waiting.sent > state.policy.probe_timeout * 2;
+        if (!local || target->second.state == member_state::dead || expired) {
+            if (local && expired) {
+                failed.push_back(waiting.target);
+            }
+            entry = now - waiting.sent > state.policy.probe_timeout ? state.probes.erase(entry) : std::next(entry);
+            continue;
+        }
+        if (!waiting.asked_others && now - waiting.sent > state.policy.probe_timeout) {
+            waiting.asked_others = true;
+            append(effects, ask_others(state, sequence, waiting, random));
+        }
+        ++entry;
+    }
+    for (const member_id id : failed) {
+        const member_state current = state.members.at(id).state;
+        if (current == member_state::alive) {
+            append(effects, declare(state, id, member_state::suspect, now));
+        } else if (current == member_state::leaving) {
+            append(effects, declare(state, id, member_state::dead, now));
+        }
+    }
+    return effects;
+}
+
+membership_effects end_suspicions(membership& state, time_point now) {
+    std::vector<member_id> ended;
+    for (const auto& [id, record] : state.members) {
+        const bool local = record.data_centre == state.self.data_centre;
+        if (local && record.state == member_state::suspect &&
+            now - state.state_since.at(id) > state.policy.suspicion_timeout) {
+            ended.push_back(id);
+        }
+    }
+    membership_effects effects;
+    for (const member_id id : ended) {
+        append(effects, declare(state, id, member_state::dead, now));
+    }
+    return effects;
+}
+
+void forget_tombstones(membership& state, time_point now) {
+    std::erase_if(state.members, [&](const auto& entry) {
+        const bool old = now - state.state_since.at(entry.first) > state.policy.tombstone_lifetime;
+        return entry.second.state == member_state::dead && old;
+    });
+    std::erase_if(state.state_since, [&](const auto& entry) { return !state.members.contains(entry.first); });
+}
+
+membership_effects try_to_join(membership& state, time_point now, random_source& random) {
+    membership_effects effects;
+    if (state.joined || state.contacts.empty() || now < state.next_join) {
+        return effects;
+    }
+    const std::uint32_t doublings = std::min(state.join_attempts++, 10U);
+    const milliseconds wait = std::min(state.policy.join_backoff_base * (1U << doublings), state.policy.join_backoff_limit);
+    state.next_join = now + jittered(wait, random);
+    wire::frame frame;
+    *frame.mutable_join()->mutable_self() = to_wire(state.self);
+    constexpr std::size_t contacts_at_once = 2;
+    std::shuffle(state.contacts.begin(), state.contacts.end(), random);
+    for (std::size_t index = 0; index < std::min(contacts_at_once, state.contacts.size()); ++index) {
+        effects.messages.push_back({state.contacts[index], frame});
+    }
+    return effects;
+}
+
+/// After a pause of this process, answers have waited unread and say nothing about the others: probes start anew
+/// and suspicions get their whole time again.
+void forgive_after_pause(membership& state, time_point now) {
+    const bool paused = now - state.last_tick > state.policy.probe_timeout;
+    state.last_tick = now;
+    if (!paused) {
+        return;
+    }
+    state.probes.clear();
+    for (const auto& [id, record] : state.members) {
+        if (record.state == member_state::suspect) {
+            state.state_since[id] = now;
+        }
+    }
+}
+
+bool take_join_token(membership& state, time_point now) {
+    join_allowance& joins = state.joins;
+    const double refill = static_cast<double>(elapsed_ms(joins.refilled, now)) * state.policy.joins_per_second / 1000.0;
+    joins.tokens = std::min(static_cast<double>(state.policy.join_burst), joins.tokens + refill);
+    joins.refilled = now;
+    if (joins.tokens < 1.0) {
+        return false;
+    }
+    joins.tokens -= 1.0;
+    return true;
+}
+
+} // namespace
+
+membership start_membership(const membership_policy& policy, const member& self, std::vector<std::string> contacts,
+                            time_point now) {
+    membership state;
+    state.policy = policy;
+    state.self = self;
+    state.next_probe = now;
+    state.next_bridge_probe = now;
+    state.next_join = now;
+    state.last_tick = now;
+    state.joins = {static_cast<double>(policy.join_burst), now};
+    store(state, self, now);
+    add_contacts(state, contacts);
+    return state;
+}
+
+membership_effects merge_members(membership& state, const std::vector<member>& records,
+                                 const std::string& from_data_centre, time_point now) {
+    membership_effects effects;
+    std::vector<member> news;
+    for (const member& record : records) {
+        if (record.id == state.self.id) {
+            if (supersedes(record, state.self)) {
+                refute(state, record, now);
+                news.push_back(state.self);
+            }
+            continue;
+        }
+        const auto known = state.members.find(record.id);
+        const bool is_known = known != state.members.end();
+        if (is_known && !supersedes(record, known->second)) {
+            continue;
+        }
+        if (!is_known && record.state == member_state::dead) {
+            continue;
+        }
+        effects.changes.push_back({record, is_known ? std::optional(known->second.state) : std::nullopt});
+        store(state, record, now);
+        news.push_back(record);
+    }
+    append(effects.messages, pass_on(state, news, from_data_centre));
+    return effects;
+}
+
+membership_effects set_own_state(membership& state, member_state own, time_point now) {
+    state.self.state = own;
+    state.self.incarnation += 1;
+    store(state, state.self, now);
+    return {pass_on(state, {state.self}, state.self.data_centre), {}};
+}
+
+void add_contacts(membership& state, const std::vector<std::string>& addresses) {
+    for (const std::string& address : addresses) {
+        const bool known = std::find(state.contacts.begin(), state.contacts.end(), address) != state.contacts.end();
+        if (!known && address != state.self.control_address) {
+            state.contacts.push_back(address);
+        }
+    }
+}
+
+membership_effects tick_membership(membership& state, time_point now, random_source& random) {
+    forgive_after_pause(state, now);
+    membership_effects effects = try_to_join(state, now, random);
+    append(effects, judge_probes(state, now, random));
+    append(effects, end_suspicions(state, now));
+    if (now >= state.next_probe) {
+        state.next_probe = now + jittered(state.policy.probe_period, random);
+        append(effects, probe_ring(state, now));
+        forget_tombstones(state, now);
+    }
+    if (now >= state.next_bridge_probe) {
+        state.next_bridge_probe = now + jittered(state.policy.bridge_period, random);
+        append(effects, probe_bridges(state, now));
+    }
+    return effects;
+}
+
+void handle_ack(membership& state, std::uint64_t sequence, member_id from, time_point now) {
+    const auto waiting = state.probes.find(sequence);
+    if (waiting == state.probes.end() || waiting->second.target != from) {
+        return;
+    }
+    state.probes.erase(waiting);
+    state.last_heard[from] = now;
+}
+
+membership_effects handle_probe_request(membership& /*state*/, const wire::probe_request& request,
+                                        const std::string& reply_to) {
+    membership_effects effects;
+    wire::frame frame;
+    frame.mutable_ping()->set_sequence(request.sequence());
+    frame.mutable_ping()->set_answer_to(reply_to);
+    effects.messages.push_back({request.target_address(), frame});
+    return effects;
+}
+
+membership_effects compare_tables(membership& state, std::uint64_t peer_hash, const std::string& peer_address,
+                                  time_point now, random_source& random) {
+    membership_effects effects;
+    if (peer_hash == state.table_hash) {
+        return effects;
+    }
+    // Tables differ for a moment whenever news is on its way; the first difference only starts the wait.
+    const auto [last, first_seen] = state.last_sync.emplace(peer_address, now);
+    if (first_seen || now - last->second < jittered(state.policy.sync_spacing, random)) {
+        return effects;
+    }
+    state.last_sync.erase(last);
+    wire::frame frame;
+    for (const auto& [id, record] : state.members) {
+        wire::member_stamp& stamp = *frame.mutable_sync_request()->add_stamps();
+        stamp.set_id(id);
+        stamp.set_incarnation(record.incarnation);
+        stamp.set_state(static_cast<std::uint32_t>(record.state));
+    }
+    effects.messages.push_back({peer_address, frame});
+    return effects;
+}
+
+membership_effects handle_sync_request(membership& state, const wire::sync_request& request,
+                                       const std::string& reply_to) {
+    wire::frame frame;
+    wire::sync_answer& answer = *frame.mutable_sync_answer();
+    std::set<member_id> named;
+    for (const wire::member_stamp& stamp : request.stamps()) {
+        named.insert(stamp.id());
+        const auto known = state.members.find(stamp.id());
+        if (known == state.members.end()) {
+            if (stamp.state() != static_cast<std::uint32_t>(member_state::dead)) {
+                answer.add_wanted(stamp.id());
+            }
+            continue;
+        }
+        const auto own = std::pair(known->second.incarnation, static_cast<std::uint32_t>(known->second.state));
+        const auto theirs = std::pair(stamp.incarnation(), stamp.state());
+        if (own > theirs) {
+            *answer.add_members() = to_wire(known->second);
+        } else if (theirs > own) {
+            answer.add_wanted(stamp.id());
+        }
+    }
+    for (const auto& [id, record] : state.members) {
+        if (!named.contains(id) && takes_messages(record)) {
+            *answer.add_members() = to_wire(record);
+        }
+    }
+    return {{{reply_to, frame}}, {}};
+}
+
+membership_effects handle_sync_answer(membership& state, const wire::sync_answer& answer, const std::string& reply_to,
+                                      const std::string& from_data_centre, time_point now) {
+    std::vector<member> records;
+    for (const wire::member& record : answer.members()) {
+        records.push_back(from_wire(record));
+    }
+    membership_effects effects = merge_members(state, records, from_data_centre, now);
+    wire::frame frame;
+    for (const member_id id : answer.wanted()) {
+        const auto known = state.members.find(id);
+        if (known != state.members.end()) {
+            *frame.mutable_rumour()->add_members() = to_wire(known->second);
+        }
+    }
+    if (frame.has_rumour()) {
+        effects.messages.push_back({reply_to, frame});
+    }
+    return effects;
+}
+
+membership_effects handle_join(membership& state, const member& joiner, const std::string& reply_to, time_point now,
+                               random_source& random) {
+    wire::frame frame;
+    wire::join_answer& answer = *frame.mutable_join_answer();
+    const bool admitted = take_join_token(state, now);
+    answer.set_admitted(admitted);
+    if (!admitted) {
+        constexpr std::size_t alternatives = 4;
+        auto others = reachable_in(state, state.self.data_centre);
+        std::shuffle(others.begin(), others.end(), random);
+        for (std::size_t index = 0; index < std::min(alternatives, others.size()); ++index) {
+            *answer.add_members() = to_wire(state.members.at(others[index]));
+        }
+        return {{{reply_to, frame}}, {}};
+    }
+    // The joiner's own former record is sent back, so that it rises above it.
+    for (const auto& [id, record] : state.members) {
+        if (takes_messages(record) || id == joiner.id) {
+            *answer.add_members() = to_wire(record);
+        }
+    }
+    membership_effects effects = merge_members(state, {joiner}, joiner.data_centre, now);
+    effects.messages.push_back({reply_to, frame});
+    return effects;
+}
+
+membership_effects handle_join_answer(membership& state, const wire::join_answer& answer,
+                                      const std::string& from_data_centre, time_point now) {
+    std::vector<member> records;
+    std::vector<std::string> addresses;
+    for (const wire::member& record : answer.members()) {
+        records.push_back(from_wire(record));
+        addresses.push_back(record.control_address());
+    }
+    if (!answer.admitted()) {
+        add_contacts(state, addresses);
+        return {};
+    }
+    const bool first = !state.joined;
+    state.joined = true;
+    membership_effects effects = merge_members(state, records, from_data_centre, now);
+    if (first) {
+        // The table is now known, so the own record can reach the ring without waiting for a probe.
+        effects.messages = pass_on(state, {state.self}, state.self.data_centre);
+    }
+    return effects;
+}
+
+std::vector<member_id> reachable_in(const membership& state, const std::string& data_centre) {
+    std::vector<member_id> found;
+    for (const auto& [id, record] : state.members) {
+        if (record.data_centre == data_centre && takes_messages(record)) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+std::vector<member_id> bridges_of(const membership& state, const std::string& data_centre) {
+    std::vector<member_id> candidates;
+    for (const auto& [id, record] : state.members) {
+        if (record.data_centre == data_centre && record.state == member_state::alive) {
+            candidates.push_back(id);
+        }
+    }
+    return rendezvous_top(std::move(candidates), data_centre, state.policy.bridges_per_data_centre);
+}
+
+std::optional<std::size_t> own_bridge_rank(const membership& state) {
+    const auto bridges = bridges_of(state, state.self.data_centre);
+    const auto found = std::find(bridges.begin(), bridges.end(), state.self.id);
+    if (found == bridges.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - bridges.begin());
+}
+
+std::vector<member_id> fingers(const membership& state) {
+    const auto ring = reachable_in(state, state.self.data_centre);
+    const auto own = std::find(ring.begin(), ring.end(), state.self.id);
+    assert(own != ring.end() && "a node stands in its own ring");
+    const auto start = static_cast<std::size_t>(own - ring.begin());
+    std::vector<member_id> found;
+    for (std::size_t distance = 1; distance < ring.size(); distance *= 2) {
+        found.push_back(ring[(start + distance) % ring.size()]);
+    }
+    return found;
+}
+
+std::vector<member_id> remote_bridges(const membership& state) {
+    std::set<std::string> data_centres;
+    for (const auto& [id, record] : state.members) {
+        data_centres.insert(record.data_centre);
+    }
+    data_centres.erase(state.self.data_centre);
+    std::vector<member_id> found;
+    for (const std::string& data_centre : data_centres) {
+        const auto bridges = bridges_of(state, data_centre);
+        if (!bridges.empty()) {
+            found.push_back(bridges.front());
+        }
+    }
+    return found;
+}
+
+std::string data_centre_of(const membership& state, member_id id) {
+    const auto known = state.members.find(id);
+    return known == state.members.end() ? std::string() : known->second.data_centre;
+}
+
+bool sees_majority(const membership& state, time_point now, milliseconds window) {
+    std::size_t reachable = 0;
+    std::size_t lost = 0;
+    for (const auto& [id, record] : state.members) {
+        if (record.data_centre != state.self.data_centre) {
+            continue;
+        }
+        const bool up = record.state == member_state::alive || record.state == member_state::leaving;
+        reachable += up ? 1 : 0;
+        lost += !up && now - state.state_since.at(id) < window ? 1 : 0;
+    }
+    return reachable > lost;
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/lib/zone/zone.cpp
@@ -0,0 +1,311 @@
+#include "waxwingfall/zone/zone.h"
+
+#include <algorithm>
+
+namespace waxwingfall {
+
+namespace {
+
+void append(zone_effects& to, membership_effects more) {
+    std::move(more.messages.begin(), more.messages.end(), std::back_inserter(to.messages));
+    std::move(more.changes.begin(), more.changes.end(), std::back_inserter(to.changes));
+}
+
+/// Tells the neighbours of newly held content. It crosses to other data centres only from the data
+/// centre's bridges, and only if it did not come from another data centre.
+void spread(const zone& state, const distribution& kind, const std::string& from_data_centre, zone_effects& effects) {
+    const membership& nodes = state.nodes;
+    std::vector<member_id> targets = fingers(nodes);
+    if (from_data_centre == nodes.self.data_centre && own_bridge_rank(nodes)) {
+        const auto remote = remote_bridges(nodes);
+        targets.insert(targets.end(), remote.begin(), remote.end());
+    }
+    const wire::frame frame = spread_message(kind);
+    for (const member_id target : targets) {
+        effects.messages.push_back({nodes.members.at(target).control_address, frame});
+    }
+}
+
+void append_report(zone& state, time_point now, random_source* random, zone_effects& effects) {
+    const auto bridges = bridges_of(state.nodes, state.nodes.self.data_centre);
+    const milliseconds period = state.policy.report_period;
+    state.next_report = now + (random == nullptr ? period : jittered(period, *random));
+    if (bridges.empty()) {
+        return;
+    }
+    wire::frame frame;
+    wire::report& report = *frame.mutable_report();
+    report.set_node(state.nodes.self.name);
+    report.set_version(state.contracts.enforced.mark.version);
+    if (state.contracts.refused) {
+        report.set_rejected_version(state.contracts.refused->mark.version);
+        report.set_reason(state.contracts.refused->reason);
+    }
+    report.set_calls(state.calls);
+    report.set_failed_calls(state.failed_calls);
+    effects.messages.push_back({state.nodes.members.at(bridges.front()).control_address, frame});
+}
+
+void append_contract(zone& state, distribution_effects more, const std::string& from_data_centre, time_point now,
+                     zone_effects& effects) {
+    std::move(more.messages.begin(), more.messages.end(), std::back_inserter(effects.messages));
+    effects.contract_enforced |= more.enforced;
+    effects.contract_refused |= more.refused;
+    effects.conflict |= more.conflict;
+    if (more.spread) {
+        spread(state, state.contracts, from_data_centre, effects);
+    }
+    if (more.enforced || more.refused) {
+        append_report(state, now, nullptr, effects);
+    }
+}
+
+void append_ledger(const zone& state, distribution_effects more, const std::string& from_data_centre,
+                   zone_effects& effects) {
+    std::move(more.messages.begin(), more.messages.end(), std::back_inserter(effects.messages));
+    effects.ledger_changed |= more.enforced;
+    effects.conflict |= more.conflict;
+    if (more.spread) {
+        spread(state, state.ledgers, from_data_centre, effects);
+    }
+}
+
+void learn_marks(zone& state, const wire::mark& contract_mark, const wire::mark& ledger_mark,
+                 const std::string& source, const std::string& from, time_point now, zone_effects& effects) {
+    append_contract(state, learn_mark(state.contracts, from_wire(contract_mark), source, now), from, now, effects);
+    append_ledger(state, learn_mark(state.ledgers, from_wire(ledger_mark), source, now), from, effects);
+}
+
+template <typename Message> void write_summary(const zone& state, Message& message) {
+    message.set_table_hash(state.nodes.table_hash);
+    *message.mutable_newest() = to_wire(state.contracts.held.mark);
+    *message.mutable_ledger() = to_wire(state.ledgers.held.mark);
+}
+
+/// Completes the parts of messages that carry what this node knows.
+void seal(const zone& state, zone_effects& effects) {
+    for (outgoing& message : effects.messages) {
+        wire::frame& frame = message.frame;
+        if (frame.has_ping()) {
+            write_summary(state, *frame.mutable_ping());
+        } else if (frame.has_ack()) {
+            write_summary(state, *frame.mutable_ack());
+        } else if (frame.has_join_answer()) {
+            *frame.mutable_join_answer()->mutable_newest() = to_wire(state.contracts.held.mark);
+            *frame.mutable_join_answer()->mutable_ledger() = to_wire(state.ledgers.held.mark);
+        }
+    }
+}
+
+void handle_ping(zone& state, const wire::frame& frame, const std::string& from, time_point now,
+                 random_source& random, zone_effects& effects) {
+    const wire::ping& ping = frame.ping();
+    wire::frame answer;
+    answer.mutable_ack()->set_sequence(ping.sequence());
+    effects.messages.push_back({ping.answer_to().empty() ? frame.reply_to() : ping.answer_to(), answer});
+    learn_marks(state, ping.newest(), ping.ledger(), frame.reply_to(), from, now, effects);
+    append(effects, compare_tables(state.nodes, ping.table_hash(), frame.reply_to(), now, random));
+}
+
+void handle_ack_frame(zone& state, const wire::frame& frame, const std::string& from, time_point now,
+                      random_source& random, zone_effects& effects) {
+    const wire::ack& ack = frame.ack();
+    handle_ack(state.nodes, ack.sequence(), frame.sender(), now);
+    learn_marks(state, ack.newest(), ack.ledger(), frame.reply_to(), from, now, effects);
+    append(effects, compare_tables(state.nodes, ack.table_hash(), frame.reply_to(), now, random));
+}
+
+void handle_join_answer_frame(zone& state, const wire::frame& frame, const std::string& from, time_point now,
+                              zone_effects& effects) {
+    const wire::join_answer& answer = frame.join_answer();
+    append(effects, handle_join_answer(state.nodes, answer, from, now));
+    learn_marks(state, answer.newest(), answer.ledger(), frame.reply_to(), from, now, effects);
+}
+
+void handle_rumour(zone& state, const wire::rumour& rumour, const std::string& from, time_point now,
+                   zone_effects& effects) {
+    std::vector<member> records;
+    for (const wire::member& record : rumour.members()) {
+        records.push_back(from_wire(record));
+    }
+    append(effects, merge_members(state.nodes, records, from, now));
+}
+
+void handle_announce(zone& state, const wire::frame& frame, const std::string& from, time_point now,
+                     zone_effects& effects) {
+    const version_mark mark = from_wire(frame.announce().newest());
+    if (frame.announce().ledger()) {
+        append_ledger(state, learn_mark(state.ledgers, mark, frame.reply_to(), now), from, effects);
+    } else {
+        append_contract(state, learn_mark(state.contracts, mark, frame.reply_to(), now), from, now, effects);
+    }
+}
+
+void handle_content_frame(zone& state, const wire::frame& frame, const std::string& from, time_point now,
+                          zone_effects& effects) {
+    if (frame.content().ledger()) {
+        append_ledger(state, handle_content(state.ledgers, frame.content(), frame.reply_to(), now), from, effects);
+    } else {
+        append_contract(state, handle_content(state.contracts, frame.content(), frame.reply_to(), now), from, now,
+                        effects);
+    }
+}
+
+void handle_report(zone& state, const wire::report& report, time_point now, zone_effects& effects) {
+    node_report& known = state.reports[report.node()];
+    const node_report received{report.version(), report.rejected_version(), report.reason(),
+                               report.calls(),   report.failed_calls(),     now};
+    effects.reports_changed |=
+        known.version != received.version || known.refused_version != received.refused_version;
+    known = received;
+}
+
+} // namespace
+
+zone start_zone(const zone_policy& policy, const std::string& environment, const member& self,
+                std::vector<std::string> contacts, content_rules contract_rules, time_point now) {
+    zone state;
+    state.policy = policy;
+    state.environment = environment;
+    state.nodes = start_membership(policy.membership, self, std::move(contacts), now);
+    state.contracts = start_distribution(policy.distribution, std::move(contract_rules), false, now);
+    content_rules ledger_rules;
+    ledger_rules.why_refused = [](std::string_view bytes) {
+        wire::ledger_map map;
+        const bool parsed = map.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+        return std::string(parsed ? "" : "the ledger map does not parse");
+    };
+    ledger_rules.make_delta = [](std::string_view, std::string_view) { return std::optional<std::string>(); };
+    ledger_rules.apply_delta = ledger_rules.make_delta;
+    state.ledgers = start_distribution(policy.distribution, std::move(ledger_rules), true, now);
+    state.next_report = now;
+    return state;
+}
+
+zone_effects handle_frame(zone& state, const wire::frame& frame, time_point now, random_source& random) {
+    zone_effects effects;
+    if (frame.environment() != state.environment) {
+        ++state.foreign_frames;
+        return effects;
+    }
+    const std::string from = data_centre_of(state.nodes, frame.sender());
+    const std::string& reply_to = frame.reply_to();
+    switch (frame.body_case()) {
+    case wire::frame::kPing:
+        handle_ping(state, frame, from, now, random, effects);
+        break;
+    case wire::frame::kAck:
+        handle_ack_frame(state, frame, from, now, random, effects);
+        break;
+    case wire::frame::kProbeRequest:
+        append(effects, handle_probe_request(state.nodes, frame.probe_request(), reply_to));
+        break;
+    case wire::frame::kRumour:
+        handle_rumour(state, frame.rumour(), from, now, effects);
+        break;
+    case wire::frame::kSyncRequest:
+        append(effects, handle_sync_request(state.nodes, frame.sync_request(), reply_to));
+        break;
+    case wire::frame::kSyncAnswer:
+        append(effects, handle_sync_answer(state.nodes, frame.sync_answer(), reply_to, from, now));
+        break;
+    case wire::frame::kJoin:
+        append(effects, handle_join(state.nodes, from_wire(frame.join().self()), reply_to, now, random));
+        break;
+    case wire::frame::kJoinAnswer:
+        handle_join_answer_frame(state, frame, from, now, effects);
+        break;
+    case wire::frame::kAnnounce:
+        handle_announce(state, frame, from, now, effects);
+        break;
+    case wire::frame::kPull: {
+        const distribution& kind = frame.pull().ledger() ? state.ledgers : state.contracts;
+        auto more = handle_pull(kind, frame.pull(), reply_to);
+        std::move(more.messages.begin(), more.messages.end(), std::back_inserter(effects.messages));
+        break;
+    }
+    case wire::frame::kContent:
+        handle_content_frame(state, frame, from, now, effects);
+        break;
+    case wire::frame::kReport:
+        handle_report(state, frame.report(), now, effects);
+        break;
+    default:
+        break;
+    }
+    seal(state, effects);
+    return effects;
+}
+
+zone_effects tick_zone(zone& state, time_point now, random_source& random) {
+    zone_effects effects;
+    append(effects, tick_membership(state.nodes, now, random));
+    const std::string& own = state.nodes.self.data_centre;
+    append_contract(state, tick_distribution(state.contracts, now), own, now, effects);
+    append_ledger(state, tick_distribution(state.ledgers, now), own, effects);
+    if (now >= state.next_report) {
+        append_report(state, now, &random, effects);
+    }
+    seal(state, effects);
+    return effects;
+}
+
+zone_effects take_platform_contract(zone& state, const marked_content& content, time_point now) {
+    zone_effects effects;
+    append_contract(state, take_content(state.contracts, content, now), state.nodes.self.data_centre, now, effects);
+    seal(state, effects);
+    return effects;
+}
+
+zone_effects take_platform_ledger(zone& state, const marked_content& content, time_point now) {
+    zone_effects effects;
+    append_ledger(state, take_content(state.ledgers, content, now), state.nodes.self.data_centre, effects);
+    seal(state, effects);
+    return effects;
+}
+
+zone_effects begin_leaving(zone& state, time_point now) {
+    zone_effects effects;
+    append(effects, set_own_state(state.nodes, member_state::leaving, now));
+    seal(state, effects);
+    return effects;
+}
+
+wire::zone_report summarize(const zone& state) {
+    wire::zone_report out;
+    out.set_data_centre(state.nodes.self.data_centre);
+    out.set_reporter(state.nodes.self.name);
+    const std::uint64_t newest = state.contracts.held.mark.version;
+    out.set_version(newest);
+    std::uint32_t enforcing = 0;
+    std::uint64_t calls = 0;
+    std::uint64_t failed = 0;
+    const auto ids = reachable_in(state.nodes, state.nodes.self.data_centre);
+    for (const member_id id : ids) {
+        const std::string& name = state.nodes.members.at(id).name;
+        const auto report = state.reports.find(name);
+        if (report == state.reports.end() || report->second.version != newest) {
+            out.add_lagging(name);
+            if (report == state.reports.end()) {
+                continue;
+            }
+        } else {
+            ++enforcing;
+        }
+        if (report->second.refused_version == newest && newest != 0) {
+            wire::rejection& rejection = *out.add_rejections();
+            rejection.set_node(name);
+            rejection.set_version(report->second.refused_version);
+            rejection.set_reason(report->second.reason);
+        }
+        calls += report->second.calls;
+        failed += report->second.failed_calls;
+    }
+    out.set_nodes(static_cast<std::uint32_t>(ids.size()));
+    out.set_nodes_enforcing(enforcing);
+    out.set_calls(calls);
+    out.set_failed_calls(failed);
+    return out;
+}
+
+} // namespace waxwingfall
--- /dev/null
+++ b/tools/standin-worker/main.cpp
@@ -0,0 +1,43 @@
+#include <csignal>
+#include <iostream>
+
+#include <docopt/docopt.h>
+
+#include "waxwingfall/standin/worker_service.h"
+
+namespace {
+
+constexpr const char* usage_text = R"(A stand-in for a backend server, for tests only.
+
+Usage:
+  standin-worker NAME ADDRESS LOG [--slots N] [--run-ms MS] [--cold-ms MS]
+
+Options:
+  --slots N    Requests run at once [default: 12].
+  --run-ms MS  Time that a request takes [default: 10].
+  --cold-ms MS Time after the start for which requests take three times as long [default: 0].
+)";
+
+} // namespace
+
+int main(int argc, char** argv) {
+    using namespace waxwingfall;
+    const auto given = docopt::docopt(usage_text, {argv + 1, argv + argc});
+    const auto address = parse_address(given.at("ADDRESS").asString());
+    if (!address) {
+        std::cerr << usage_text;
+        return 2;
+    }
+    standin::worker_options options;
+    options.name = given.at("NAME").asString();
+    options.address = *address;
+    options.run_log = given.at("LOG").asString();
+    options.slots = static_cast<std::uint32_t>(given.at("--slots").asLong());
+    options.run_time = milliseconds(given.at("--run-ms").asLong());
+    options.cold_time = milliseconds(given.at("--cold-ms").asLong());
+    event_loop loop;
+    const standin::worker_service service(loop, options);
+    const auto on_term = loop_event::on_signal(loop, SIGTERM, [&] { loop.stop(); });
+    loop.run();
+    return 0;
+}
--- /dev/null
+++ b/tools/waxwingfall/main.cpp
@@ -0,0 +1,75 @@
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <vector>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <docopt/docopt.h>
+
+#include "waxwingfall/machine/node.h"
+#include "waxwingfall/support/yaml_tree.h"
+
+namespace {
+
+constexpr const char* usage_text = R"(The node of waxwingfall that stands beside one backend server.
+
+Usage:
+  waxwingfall [--check] SETTINGS
+  waxwingfall --help
+
+Options:
+  --check  Check the settings file and stop.
+  --help   Show this text.
+)";
+
+using namespace waxwingfall;
+
+int run_node(const node_settings& settings) {
+    event_log log(settings.name, settings.log_path);
+    event_loop loop;
+    try {
+        node running(loop, settings, log, std::random_device()(), [&] { loop.stop(); });
+        const auto on_term = loop_event::on_signal(loop, SIGTERM, [&] { running.leave(); });
+        const auto on_int = loop_event::on_signal(loop, SIGINT, [&] { running.leave(); });
+        loop.run();
+    } catch (const std::exception& error) {
+        std::cerr << "waxwingfall: " << answer_of(error_kind::address_in_use).name << ": " << error.what() << "\n";
+        return answer_of(error_kind::address_in_use).exit_code;
+    }
+    return 0;
+}
+
+int load_and_run(const std::string& path, bool check_only) {
+    const auto text = read_bounded_file(path);
+    if (!text) {
+        std::cerr << path << ": " << answer_of(error_kind::file_unreadable).name << ": the file can't be read\n";
+        return answer_of(error_kind::file_unreadable).exit_code;
+    }
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<int> {
+            BOOST_LEAF_AUTO(settings, parse_settings(*text, path));
+            return check_only ? 0 : run_node(settings);
+        },
+        [](const fault_list& list) {
+            for (const fault& found : list.faults) {
+                std::cerr << to_string(found) << "\n";
+            }
+            return answer_of(error_kind::syntax).exit_code;
+        },
+        [] { return 1; });
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    try {
+        const auto arguments = docopt::docopt_parse(usage_text, {argv + 1, argv + argc}, true, false);
+        return load_and_run(arguments.at("SETTINGS").asString(), arguments.at("--check").asBool());
+    } catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage_text;
+        return 0;
+    } catch (const std::exception&) {
+        std::cerr << usage_text;
+        return answer_of(error_kind::usage).exit_code;
+    }
+}
--- /dev/null
+++ b/utils/mesh.py
@@ -0,0 +1,295 @@
+"""Starts and stops the processes of a test mesh on loopback: stand-ins and nodes. Used by demo, measure and tests."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = pathlib.Path(os.environ.get("WAXWINGFALL_BUILD", ROOT / "build"))
+
+
+def free_port(host, _next=[20000 + os.getpid() % 4000]):
+    """A port below the ephemeral range that nothing listens on."""
+    while True:
+        _next[0] = 20000 + (_next[0] - 20000 + 1) % 12000
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((host, _next[0]))
+                return _next[0]
+            except OSError:
+                continue
+
+
+def http(address, path, method="GET", body=None, headers=None, timeout=5):
+    """Returns (status, headers, body) of one request; raises OSError if there is no answer."""
+    request = urllib.request.Request(f"http://{address}{path}", data=body, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, dict(answer.headers), answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), error.read()
+
+
+def wait_for(condition, seconds, what):
+    """Waits until the condition holds; raises AssertionError naming `what` if it never does."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.02)
+    raise AssertionError(f"not within {seconds} s: {what}")
+
+
+class Process:
+    """One process of the mesh, ended only by its own id."""
+
+    def __init__(self, arguments, log):
+        self.arguments = [str(argument) for argument in arguments]
+        self.log = open(log, "ab")
+        self.popen = None
+
+    def start(self):
+        self.popen = subprocess.Popen(self.arguments, stdout=self.log, stderr=self.log, stdin=subprocess.DEVNULL)
+        return self
+
+    def signal(self, number):
+        if self.popen and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.popen:
+            self.popen.wait()
+
+    def alive(self):
+        return self.popen is not None and self.popen.poll() is None
+
+
+class Node:
+    """A worker stand-in with its node."""
+
+    def __init__(self, mesh, name, data_centre, region, environment, service, host, slots, run_ms, cold_ms):
+        self.mesh, self.name, self.data_centre = mesh, name, data_centre
+        self.region, self.environment, self.service = region, environment, service
+        self.host, self.slots, self.run_ms, self.cold_ms = host, slots, run_ms, cold_ms
+        self.run_log = mesh.folder / f"{name}.runs"
+        self.run_log.touch()
+        self.event_log = mesh.folder / f"{name}.log"
+        self.peers = []
+        self.translate = []
+        self.policy = {}
+        self.limits = {}
+        self.new_addresses()
+        self.process = None
+        self.worker = None
+
+    def new_addresses(self):
+        self.calls, self.inbound, self.control, self.admin, self.worker_address = (
+            f"{self.host}:{free_port(self.host)}" for _ in range(5))
+
+    def settings_text(self):
+        lines = [
+            "node:", f"  name: {self.name}", f"  data_centre: {self.data_centre}", f"  region: {self.region}",
+            f"  environment: {self.environment}",
+            "listen:", f"  calls: {self.calls}", f"  inbound: {self.inbound}", f"  control: {self.control}",
+            f"  admin: {self.admin}",
+            "worker:", f"  service: {self.service}", f"  address: {self.worker_address}", f"  slots: {self.slots}",
+            f"platform: {self.mesh.platform_for(self)}", f"log: {self.event_log}",
+        ]
+        if self.peers:
+            lines.append("peers: [" + ", ".join(self.peers) + "]")
+        if self.translate:
+            lines.append("translate:")
+            lines += [f"  - {{from: {before}, to: {after}}}" for before, after in self.translate]
+        for section, values in (("policy", self.policy), ("limits", self.limits)):
+            if values:
+                lines.append(f"{section}:")
+                lines += [f"  {key}: {value}" for key, value in values.items()]
+        return "\n".join(lines) + "\n"
+
+    def start_worker(self):
+        self.worker = Process([BUILD / "standin-worker", self.name, self.worker_address, self.run_log, "--slots",
+                               self.slots, "--run-ms", self.run_ms, "--cold-ms", self.cold_ms],
+                              self.mesh.folder / "stand-ins.err").start()
+
+    def start(self, with_worker=True):
+        if with_worker:
+            self.start_worker()
+        path = self.mesh.folder / f"{self.name}.yaml"
+        path.write_text(self.settings_text())
+        self.process = Process([BUILD / "waxwingfall", path], self.mesh.folder / f"{self.name}.err").start()
+        return self
+
+    def kill(self, with_worker=True):
+        self.process.kill()
+        if with_worker and self.worker:
+            self.worker.kill()
+
+    def status(self):
+        return json.loads(http(self.admin, "/status")[2])
+
+    def version(self):
+        return self.status()["version"]
+
+    def metrics(self):
+        values = {}
+        for line in http(self.admin, "/metrics")[2].decode().splitlines():
+            if line and not line.startswith("#"):
+                name, value = line.rsplit(" ", 1)
+                values[name] = float(value)
+        return values
+
+    def resources(self):
+        """(CPU seconds, resident KB) of the node's process."""
+        fields = pathlib.Path(f"/proc/{self.process.popen.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        ticks = int(fields[11]) + int(fields[12])
+        status = pathlib.Path(f"/proc/{self.process.popen.pid}/status").read_text()
+        resident = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS"))
+        return ticks / os.sysconf("SC_CLK_TCK"), resident
+
+    def events(self, name=None):
+        found = []
+        if self.event_log.exists():
+            for line in self.event_log.read_text().splitlines():
+                try:
+                    event = json.loads(line)
+                except ValueError:
+                    continue
+                if name is None or event["name"] == name:
+                    found.append(event)
+        return found
+
+
+class Mesh:
+    """A platform stand-in and nodes in data centres."""
+
+    def __init__(self):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="waxwingfall-"))
+        self.nodes = []
+        self.links = []
+        self.platform_address = f"127.0.0.1:{free_port('127.0.0.1')}"
+        self.platform_overrides = {}
+        self.platform = Process([BUILD / "standin-platform", self.platform_address], self.folder / "stand-ins.err")
+        self.platform.start()
+        wait_for(lambda: http(self.platform_address, "/control")[0] == 200, 5, "platform stand-in answers")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def platform_for(self, node):
+        return self.platform_overrides.get(node.data_centre, self.platform_address)
+
+    def platform_control(self, query):
+        return json.loads(http(self.platform_address, "/control?" + query)[2])
+
+    def add(self, name, data_centre, service, environment="production", region="lv-riga", slots=12, run_ms=10,
+            host="127.0.0.1", cold_ms=0):
+        node = Node(self, name, data_centre, region, environment, service, host, slots, run_ms, cold_ms)
+        self.nodes.append(node)
+        return node
+
+    def by_name(self, name):
+        return next(node for node in self.nodes if node.name == name)
+
+    def environment(self, environment):
+        return [node for node in self.nodes if node.environment == environment]
+
+    def share_hints(self, count=3):
+        """Gives every node the first addresses of its environment as hints."""
+        for node in self.nodes:
+            others = [other.control for other in self.environment(node.environment) if other is not node]
+            node.peers = others[:count]
+
+    def start(self):
+        for node in self.nodes:
+            node.start()
+
+    def ctl(self, *arguments, check=True, json_format=False):
+        """Runs waxwingctl; returns (exit code, output, errors)."""
+        command = [str(BUILD / "waxwingctl"), *map(str, arguments)]
+        if arguments[0] not in ("check", "timeline"):
+            command += ["--platform", self.platform_address]
+        if json_format:
+            command += ["--format", "json"]
+        done = subprocess.run(command, capture_output=True, text=True)
+        if check and done.returncode != 0:
+            raise AssertionError(f"{' '.join(command)}: exit {done.returncode}: {done.stderr}")
+        return done.returncode, done.stdout, done.stderr
+
+    def run_logs(self, environment="production"):
+        return [node.run_log for node in self.environment(environment)]
+
+    def load(self, nodes, environment="production", **options):
+        """Starts callers in the background; `finish_load` gives the report."""
+        command = [str(BUILD / "standin-load"), "--nodes", ",".join(node.calls for node in nodes)]
+        for key, value in options.items():
+            flag = "--" + key.replace("_", "-")
+            command += [flag] if value is True else [flag, str(value)]
+        command += [str(path) for path in self.run_logs(environment)]
+        return subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+
+    def wait_members(self, nodes, count, seconds=20):
+        def complete():
+            return all(sum(member["state"] == "alive" for member in node.status()["members"]) == count
+                       for node in nodes)
+        wait_for(complete, seconds, f"every node knows {count} members alive")
+
+    def wait_version(self, nodes, version, seconds=10):
+        wait_for(lambda: all(node.version() == version for node in nodes), seconds, f"version {version} everywhere")
+
+    def wait_ledger(self, nodes, data_centres, seconds=30):
+        """Waits until every data centre has its ledger shards ready and all nodes have the newest map."""
+        def ready():
+            pages = [node.status() for node in nodes]
+            same = len({page["ledger_map"] for page in pages}) == 1 and pages[0]["ledger_map"] > 0
+            return same and sum(page["ledger_shards_ready"] for page in pages) == 8 * data_centres
+        wait_for(ready, seconds, "ledger shards ready")
+
+    def stop(self):
+        for node in self.nodes:
+            for process in (node.process, node.worker):
+                if process:
+                    process.kill()
+        for link in self.links:
+            link.kill()
+        self.platform.kill()
+
+
+def finish_load(popen):
+    """Waits for callers and returns (exit code, report)."""
+    out, err = popen.communicate()
+    if not out:
+        raise AssertionError(f"no report from the load program: {err}")
+    return popen.returncode, json.loads(out)
+
+
+SVECU = [  # name, data centre, service: the real sizes of the brief, spread over three data centres
+    ("riga-a-rez-1", "riga-a", "rezervacijas"), ("riga-a-rez-2", "riga-a", "rezervacijas"),
+    ("riga-a-tir-1", "riga-a", "tirdznieciba"), ("riga-b-rez-1", "riga-b", "rezervacijas"),
+    ("riga-b-rez-2", "riga-b", "rezervacijas"), ("riga-b-tir-1", "riga-b", "tirdznieciba"),
+    ("riga-c-rez-1", "riga-c", "rezervacijas"), ("riga-c-rez-2", "riga-c", "rezervacijas"),
+    ("riga-c-tir-1", "riga-c", "tirdznieciba"),
+]
+
+
+def svecu_mesh(**options):
+    """The Sveču Serviss deployment: nine workers in three data centres."""
+    mesh = Mesh()
+    for name, data_centre, service in SVECU:
+        mesh.add(name, data_centre, service, **options)
+    mesh.share_hints()
+    return mesh
