--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -18,8 +18,8 @@
     auto operator<=>(const waiting_request&) const = default;
 };
 
-/// The worker's slots as the node beside it counts them, with a short queue. Its refusal proves that a request
-/// did not run.
+/// The worker's slots as the node beside it counts them, with a short queue. Its refusal proves that a
+/// request did not run.
 struct admission {
     std::uint32_t slots = 1;
     std::uint32_t queue_limit = 0;
@@ -35,7 +35,8 @@
 /// Admits a request, queues it, or refuses it if the queue is full or its turn would come too late.
 admission_verdict admit(admission& state, const waiting_request& request, time_point now);
 
-/// The requests that a freed or idle slot decides: those to run now, and those whose deadline has passed while they waited.
+/// The requests that a freed or idle slot decides: those to run now, and those whose deadline has passed
+/// while they waited.
 struct admission_turn {
     std::vector<std::uint64_t> run;
     std::vector<std::uint64_t> expired;
--- a/include/waxwingfall/call/claimant.h
+++ b/include/waxwingfall/call/claimant.h
@@ -59,25 +59,27 @@
     std::vector<claim_result> results;
 };
 
-/// Asks the key's home for a claim. Returns the attempt's number, or nothing if the key has no home that is known here.
+/// Asks the key's home for a claim. Returns the attempt's number, or nothing if the key has no home that is
+/// known here.
 std::optional<std::uint64_t> start_claim(claimant& state, const ledger_map& map, const membership& nodes,
-                                         const idempotency_key& key, const std::string& fingerprint, time_point now,
-                                         random_source& random, claimant_effects& effects);
+                                         const idempotency_key& key, const std::string& fingerprint,
+                                         time_point now, random_source& random, claimant_effects& effects);
 
 /// Takes in a verdict. One that comes too late is handed back: its request was refused and will not run.
 claimant_effects handle_claim_answer(claimant& state, const wire::claim_answer& answer, const ledger_map& map,
                                      const membership& nodes, time_point now);
 
 /// Tells the key's home how a granted attempt ended, until that is acknowledged.
-claimant_effects settle_claim(claimant& state, const ledger_map& map, const membership& nodes, wire::record settled,
-                              time_point now);
+claimant_effects settle_claim(claimant& state, const ledger_map& map, const membership& nodes,
+                              wire::record settled, time_point now);
 
 /// Hands back a granted claim whose request will not run.
-claimant_effects release_claim(claimant& state, const ledger_map& map, const membership& nodes, std::uint64_t attempt,
-                               const std::string& key, time_point now);
+claimant_effects release_claim(claimant& state, const ledger_map& map, const membership& nodes,
+                               std::uint64_t attempt, const std::string& key, time_point now);
 
 /// Gives up claims that wait too long, and repeats settlements.
-claimant_effects tick_claimant(claimant& state, const ledger_map& map, const membership& nodes, time_point now);
+claimant_effects tick_claimant(claimant& state, const ledger_map& map, const membership& nodes,
+                               time_point now);
 
 } // namespace waxwingfall
 
--- a/include/waxwingfall/call/idempotency_key.h
+++ b/include/waxwingfall/call/idempotency_key.h
@@ -10,9 +10,9 @@
 
 namespace waxwingfall {
 
-/// A caller's idempotency key: a UUID of version 7 (RFC 9562), whose first 48 bits are the wall-clock time in milliseconds at
-/// which the caller made it. The time bounds how long records must be kept, and lets a new owner of records
-/// tell a key that was made after it took over from one that its predecessors may have seen.
+/// A caller's idempotency key: a UUID of version 7 (RFC 9562), whose first 48 bits are the wall-clock time in
+/// milliseconds at which the caller made it. The time bounds how long records must be kept, and lets a new
+/// owner of records tell a key that was made after it took over from one that its predecessors may have seen.
 struct idempotency_key {
     std::string bytes; ///< 16 raw bytes
     wall_ms made = 0;
--- a/include/waxwingfall/call/ledger.h
+++ b/include/waxwingfall/call/ledger.h
@@ -52,14 +52,16 @@
     milliseconds retention_margin{60000}; ///< for which records are kept beyond that
     milliseconds clock_ahead{2000};       ///< how far a caller's clock may run ahead
     milliseconds grant_timeout{400};      ///< for the backup's acknowledgement
-    milliseconds takeover_delay{10000};   ///< for which a primary without records waits for its predecessors' end
-    milliseconds amnesia_margin{5000};    ///< added to the time of a takeover without records; over `clock_ahead`
+    milliseconds takeover_delay{
+        10000}; ///< for which a primary without records waits for its predecessors' end
+    milliseconds amnesia_margin{
+        5000}; ///< added to the time of a takeover without records; over `clock_ahead`
     milliseconds majority_window{3600000}; ///< for which lost nodes count against a majority
-    milliseconds transfer_period{500};    ///< between tries to hand a shard to its new backup
+    milliseconds transfer_period{500};     ///< between tries to hand a shard to its new backup
     std::size_t max_records = 40'000;
-    std::size_t max_answer_bytes = 4096;        ///< a longer answer is not kept
+    std::size_t max_answer_bytes = 4096; ///< a longer answer is not kept
     std::size_t max_all_answer_bytes = 4'000'000;
-    std::size_t transfer_records = 500;         ///< in one message
+    std::size_t transfer_records = 500; ///< in one message
     auto operator<=>(const ledger_policy&) const = default;
 };
 
@@ -97,14 +99,15 @@
     std::size_t record_count = 0;
 };
 
-/// Takes in a map. Shards that this node newly owns as primary are handed to their backups before any claim is
-/// granted. A primary that lacks its predecessors' records waits, and then doubts every key made before.
+/// Takes in a map. Shards that this node newly owns as primary are handed to their backups before any claim
+/// is granted. A primary that lacks its predecessors' records waits, and then doubts every key made before.
 void adopt_ledger_map(ledger& state, const ledger_map& map, member_id self, time_point now, wall_ms wall_now);
 
 /// Stops granting until `confirm_owner` is called; for a process that finds that it was paused.
 void fence_owner(ledger& state);
 
-/// Ends the fence, if a peer that answered a probe sent after the pause knows no newer map than `known_version`.
+/// Ends the fence, if a peer that answered a probe sent after the pause knows no newer map than
+/// `known_version`.
 void confirm_owner(ledger& state, std::uint64_t peer_version);
 
 /// Answers a claim, or asks the backup to record it first.
@@ -112,7 +115,8 @@
                                    const membership& nodes, time_point now, wall_ms wall_now);
 
 /// Records what the primary granted, unless a newer epoch is known here.
-std::vector<outgoing> handle_replicate(ledger& state, const wire::replicate& message, const std::string& reply_to);
+std::vector<outgoing> handle_replicate(ledger& state, const wire::replicate& message,
+                                       const std::string& reply_to);
 
 /// Grants what the backup has recorded.
 std::vector<outgoing> handle_replicated(ledger& state, const wire::replicated& message);
--- a/include/waxwingfall/call/ledger_map.h
+++ b/include/waxwingfall/call/ledger_map.h
@@ -25,7 +25,8 @@
 /// The shards that live in one data centre.
 struct ledger_zone {
     std::string data_centre;
-    wall_ms born = 0; ///< only keys made later have their home here, so that adding a data centre moves no older key
+    wall_ms born =
+        0; ///< only keys made later have their home here, so that adding a data centre moves no older key
     std::vector<shard_owners> shards;
     auto operator<=>(const ledger_zone&) const = default;
 };
@@ -41,10 +42,12 @@
 /// Settings of the planning of owners.
 struct ledger_map_policy {
     std::uint32_t shards_per_zone = 8;
-    milliseconds takeover_delay{10000};  ///< both owners must be dead for so long before strangers replace them
-    milliseconds stable_time{2000};      ///< the data centre's nodes must be known for so long before it is added
-    milliseconds zone_activation{30000}; ///< between adding a further data centre and the first key that lives there
-    milliseconds birth_delay{5000};      ///< the same while no key has a home yet
+    milliseconds takeover_delay{
+        10000};                     ///< both owners must be dead for so long before strangers replace them
+    milliseconds stable_time{2000}; ///< the data centre's nodes must be known for so long before it is added
+    milliseconds zone_activation{
+        30000}; ///< between adding a further data centre and the first key that lives there
+    milliseconds birth_delay{5000}; ///< the same while no key has a home yet
     milliseconds majority_window{3600000};
     auto operator<=>(const ledger_map_policy&) const = default;
 };
@@ -60,9 +63,9 @@
 /// The shard that `key` lives in, or nothing if no data centre was born before the key was made.
 std::optional<shard_place> home_of(const ledger_map& map, const idempotency_key& key);
 
-/// The next map, if the owners of this data centre's shards should change: a lost or leaving owner is replaced,
-/// the survivor becoming primary. Strangers replace both owners only if both have long been dead and
-/// this node sees a majority of its data centre; they will doubt every older key.
+/// The next map, if the owners of this data centre's shards should change: a lost or leaving owner is
+/// replaced, the survivor becoming primary. Strangers replace both owners only if both have long been dead
+/// and this node sees a majority of its data centre; they will doubt every older key.
 std::optional<ledger_map> plan_ledger_change(const ledger_map& map, const ledger_map_policy& policy,
                                              const membership& nodes, time_point now, wall_ms wall_now);
 
--- a/include/waxwingfall/call/routing.h
+++ b/include/waxwingfall/call/routing.h
@@ -25,7 +25,7 @@
     milliseconds slow_start{10000};           ///< over which a new endpoint reaches its full share
     milliseconds load_lifetime{2000};         ///< after which a reported load is not believed
     milliseconds refusal_pause{100};          ///< for which an endpoint that refused is passed over
-    double spill_load = 0.9;                  ///< load per slot from which other data centres are used as well
+    double spill_load = 0.9; ///< load per slot from which other data centres are used as well
     auto operator<=>(const routing_policy&) const = default;
 };
 
@@ -38,11 +38,11 @@
     std::uint32_t slots = 1;
     bool suspect = false;
     time_point first_seen;
-    std::uint32_t in_flight = 0;   ///< of this node
-    double reported_load = 0;      ///< running and waiting requests, carried back by answers
+    std::uint32_t in_flight = 0; ///< of this node
+    double reported_load = 0;    ///< running and waiting requests, carried back by answers
     time_point reported_at;
-    std::uint32_t failures = 0;    ///< in a row
-    std::uint32_t ejections = 0;   ///< in a row
+    std::uint32_t failures = 0;  ///< in a row
+    std::uint32_t ejections = 0; ///< in a row
     time_point ejected_until;
     time_point refused_until;
 };
@@ -52,7 +52,7 @@
     routing_policy policy;
     std::map<std::string, std::map<member_id, endpoint>> services;
     std::map<std::string, std::uint64_t> turns; ///< of the round robin rule
-    std::string data_centre; ///< of this node
+    std::string data_centre;                    ///< of this node
     std::string region;
 };
 
@@ -63,9 +63,11 @@
 void update_endpoint(routing_table& table, const member& now_known, time_point now);
 
 /// Picks the endpoint with the lower load out of two drawn at random from the nearest data centres that have
-/// capacity. Endpoints in `tried` are passed over while there are others. Returns nothing if the service has none.
+/// capacity. Endpoints in `tried` are passed over while there are others. Returns nothing if the service has
+/// none.
 std::optional<member_id> pick_endpoint(routing_table& table, const std::string& service,
-                                       const std::vector<member_id>& tried, time_point now, random_source& random);
+                                       const std::vector<member_id>& tried, time_point now,
+                                       random_source& random);
 
 /// Notes that a try starts at or has ended at an endpoint.
 void begin_try(routing_table& table, const std::string& service, member_id id);
--- a/include/waxwingfall/contract/document.h
+++ b/include/waxwingfall/contract/document.h
@@ -30,8 +30,9 @@
     std::string host;
     std::string prefix; ///< starts with '/', matches whole path segments
     std::string service;
-    std::uint32_t timeout_ms = 0;                    ///< 0 stands for the timeout of the service
-    std::vector<std::string> non_idempotent_methods; ///< sorted; each needs an Idempotency-Key and runs at most once
+    std::uint32_t timeout_ms = 0; ///< 0 stands for the timeout of the service
+    std::vector<std::string>
+        non_idempotent_methods; ///< sorted; each needs an Idempotency-Key and runs at most once
     auto operator<=>(const route_contract&) const = default;
 };
 
@@ -43,8 +44,8 @@
     auto operator<=>(const contract&) const = default;
 };
 
-/// Parses and checks an operator's document. On failure the LEAF error carries a `fault_list` with every fault
-/// of the document, ordered by place; `file` is the name that they show.
+/// Parses and checks an operator's document. On failure the LEAF error carries a `fault_list` with every
+/// fault of the document, ordered by place; `file` is the name that they show.
 boost::leaf::result<contract> parse_contract(std::string_view text, const std::string& file);
 
 /// Checks content that came from a peer or from the platform by the same rules of meaning. Returns the first
--- a/include/waxwingfall/link/address.h
+++ b/include/waxwingfall/link/address.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace waxwingfall {
 
@@ -16,6 +17,17 @@
     auto operator<=>(const ip_address&) const = default;
 };
 
+/// How addresses of another data centre are reached from this one, where they are translated on the way: an
+/// address that starts with `from` starts with `to` instead.
+struct address_translation {
+    std::string from;
+    std::string to;
+    auto operator<=>(const address_translation&) const = default;
+};
+
+/// The address to use for `address`, by the first translation that applies.
+std::string translate(const std::vector<address_translation>& translations, const std::string& address);
+
 /// Reads "IP:PORT" with a port from 1 to 65535. Returns nothing for anything else.
 std::optional<ip_address> parse_address(std::string_view text);
 
--- a/include/waxwingfall/link/event_loop.h
+++ b/include/waxwingfall/link/event_loop.h
@@ -32,8 +32,8 @@
     bool stopped_ = false;
 };
 
-/// A callback on the loop: after a delay once, again and again, for a signal, or when a descriptor is readable.
-/// Destroying it ends the callbacks.
+/// A callback on the loop: after a delay once, again and again, for a signal, or when a descriptor is
+/// readable. Destroying it ends the callbacks.
 class loop_event {
 public:
     loop_event() = default;
--- a/include/waxwingfall/link/http.h
+++ b/include/waxwingfall/link/http.h
@@ -44,8 +44,8 @@
 
 /// Sends `request` over a connection of its own and calls `done` once, always. For control, not for callers'
 /// requests. Answers over `max_body` bytes count as lost.
-void exchange(const event_loop& loop, const ip_address& address, const http_request& request, milliseconds timeout,
-              std::function<void(const http_answer&)> done);
+void exchange(const event_loop& loop, const ip_address& address, const http_request& request,
+              milliseconds timeout, std::function<void(const http_answer&)> done);
 
 /// A small HTTP server with buffered requests and answers.
 class http_server {
@@ -70,7 +70,8 @@
 };
 
 /// Answers with a status, a body and headers.
-void answer(evhttp_request* request, int status, std::string_view body, const std::vector<http_header>& headers = {});
+void answer(evhttp_request* request, int status, std::string_view body,
+            const std::vector<http_header>& headers = {});
 
 /// The value of a request's header, or an empty text.
 std::string request_header(evhttp_request* request, const char* name);
--- a/include/waxwingfall/link/message_link.h
+++ b/include/waxwingfall/link/message_link.h
@@ -6,9 +6,11 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <zmq.hpp>
 
+#include "waxwingfall/link/address.h"
 #include "waxwingfall/link/event_loop.h"
 #include "waxwingfall/wire/wire.pb.h"
 
@@ -20,17 +22,19 @@
     std::uint64_t bytes_sent = 0;
     std::uint64_t frames_received = 0;
     std::uint64_t bytes_received = 0;
-    std::uint64_t frames_dropped = 0;  ///< the queue to the peer was full
-    std::uint64_t frames_refused = 0;  ///< did not parse
+    std::uint64_t frames_dropped = 0; ///< the queue to the peer was full
+    std::uint64_t frames_refused = 0; ///< did not parse
 };
 
 /// Messages between nodes: one socket that receives from all, and one for each peer that is sent to. A
 /// message to a peer that can't be reached waits in a short queue and is dropped when that is full; every
-/// protocol above bears loss, doubling and delay. Silent connections are noticed by heartbeats and replaced within four seconds.
+/// protocol above bears loss, doubling and delay. Silent connections are noticed by heartbeats and replaced
+/// within four seconds.
 class message_link {
 public:
     /// Binds `address` ("IP:PORT"); throws zmq::error_t if it can't be bound.
     message_link(const event_loop& loop, const std::string& address,
+                 std::vector<address_translation> translations,
                  std::function<void(const wire::frame&)> on_frame);
 
     /// Sends a frame to the node that listens at `address`.
@@ -53,6 +57,7 @@
     zmq::context_t context_{1};
     zmq::socket_t inbox_;
     std::map<std::string, peer> peers_;
+    std::vector<address_translation> translations_;
     std::function<void(const wire::frame&)> on_frame_;
     link_counts counts_;
     loop_event readable_;
--- a/include/waxwingfall/machine/call_headers.h
+++ b/include/waxwingfall/machine/call_headers.h
@@ -14,12 +14,13 @@
 /// Headers that callers and workers use; docs/calls.md describes each.
 namespace call_header {
 inline constexpr const char* idempotency_key = "Idempotency-Key";
-inline constexpr const char* deadline_ms = "X-Deadline-Ms";       ///< what is left for the call, in milliseconds
-inline constexpr const char* retry_attempt = "X-Retry-Attempt";   ///< over 0 inside a call that is itself a retry
-inline constexpr const char* not_run = "X-Not-Run";               ///< a worker's promise that it ran nothing
-inline constexpr const char* outcome = "X-Waxwingfall-Outcome";   ///< done, not-run or unknown
-inline constexpr const char* reason = "X-Waxwingfall-Reason";     ///< the name of an error kind
-inline constexpr const char* load = "X-Waxwingfall-Load";         ///< between nodes: running and waiting requests
+inline constexpr const char* deadline_ms = "X-Deadline-Ms"; ///< what is left for the call, in milliseconds
+inline constexpr const char* retry_attempt =
+    "X-Retry-Attempt";                              ///< over 0 inside a call that is itself a retry
+inline constexpr const char* not_run = "X-Not-Run"; ///< a worker's promise that it ran nothing
+inline constexpr const char* outcome = "X-Waxwingfall-Outcome"; ///< done, not-run or unknown
+inline constexpr const char* reason = "X-Waxwingfall-Reason";   ///< the name of an error kind
+inline constexpr const char* load = "X-Waxwingfall-Load"; ///< between nodes: running and waiting requests
 inline constexpr const char* replayed = "X-Waxwingfall-Replayed"; ///< the answer of an earlier run
 inline constexpr const char* version = "X-Waxwingfall-Version";   ///< the document that was in force
 } // namespace call_header
@@ -29,7 +30,7 @@
     http_request request; ///< with the caller's headers but those of one hop and those that nodes set
     std::string method;
     std::string host;
-    std::string path; ///< without the query
+    std::string path;        ///< without the query
     std::string fingerprint; ///< digest of method, path with query, and body
     auto operator<=>(const received_request&) const = default;
 };
--- a/include/waxwingfall/machine/downstream.h
+++ b/include/waxwingfall/machine/downstream.h
@@ -14,7 +14,8 @@
 namespace waxwingfall {
 
 /// The answer to one request that this process received: whole, or in pieces with a bounded amount waiting to
-/// be sent. Destroying it before `end` or `reply` closes the connection, so that an answer cut short never looks whole.
+/// be sent. Destroying it before `end` or `reply` closes the connection, so that an answer cut short never
+/// looks whole.
 class downstream {
 public:
     explicit downstream(evhttp_request* request);
@@ -25,7 +26,8 @@
     /// Sends a whole answer.
     void reply(int status, std::string_view body, const std::vector<http_header>& headers);
 
-    /// Starts an answer in pieces. With a Content-Length among the headers the pieces are sent as they are, else chunked.
+    /// Starts an answer in pieces. With a Content-Length among the headers the pieces are sent as they are,
+    /// else chunked.
     void begin(int status, const std::vector<http_header>& headers);
 
     /// Sends a piece; true if so much waits to be sent that the source should pause until `on_drained`.
--- a/include/waxwingfall/machine/node.h
+++ b/include/waxwingfall/machine/node.h
@@ -45,6 +45,7 @@
     time_point next_housekeeping_;
     time_point leave_started_;
     std::uint64_t frames_refused_ = 0;
+    std::uint64_t name_conflicts_ = 0;
     loop_event ticker_;
 };
 
--- a/include/waxwingfall/machine/platform_agent.h
+++ b/include/waxwingfall/machine/platform_agent.h
@@ -14,9 +14,10 @@
 /// What the agent hands to the node: effects of content that it read.
 using zone_effects_sink = std::function<void(zone_effects)>;
 
-/// A node's dealings with the platform's key-value service. Every node looks for seeds until it has joined. The two bridges
-/// of a data centre watch the head and the ledger map and keep a seed address under a lease; the first of them also
-/// writes the data centre's report and plans the owners of its ledger shards. Nothing depends on there being just two: a third one only costs calls.
+/// A node's dealings with the platform's key-value service. Every node looks for seeds until it has joined.
+/// The two bridges of a data centre watch the head and the ledger map and keep a seed address under a lease;
+/// the first of them also writes the data centre's report and plans the owners of its ledger shards. Nothing
+/// depends on there being just two: a third one only costs calls.
 class platform_agent {
 public:
     platform_agent(node_context& node, zone_effects_sink sink);
--- a/include/waxwingfall/machine/settings.h
+++ b/include/waxwingfall/machine/settings.h
@@ -28,17 +28,19 @@
     std::string service;
     ip_address worker;
     std::uint32_t slots = 1;
-    std::uint32_t connections = 110;       ///< to the worker
-    milliseconds probe_period{1000};       ///< between health probes of the worker
+    std::uint32_t connections = 110; ///< to the worker
+    milliseconds probe_period{1000}; ///< between health probes of the worker
     ip_address platform;
     std::vector<std::string> peers; ///< control addresses to try at the start
+    std::vector<address_translation> translations;
     std::string log_path;
     std::uint32_t max_body_bytes = 1'048'576;
     std::uint32_t max_header_bytes = 16'384;
-    milliseconds caller_timeout{10'000};   ///< for a caller to send its request or to take its answer
-    milliseconds leave_notice{2000};       ///< after the notice that it leaves, a node still admits work for so long
-    milliseconds leave_timeout{30'000};    ///< after which a leaving node stops, whatever is still running
-    bool retry_budget = true;              ///< off lets every failed try be repeated, the baseline of the measurements
+    milliseconds caller_timeout{10'000}; ///< for a caller to send its request or to take its answer
+    milliseconds leave_notice{
+        2000}; ///< after the notice that it leaves, a node still admits work for so long
+    milliseconds leave_timeout{30'000}; ///< after which a leaving node stops, whatever is still running
+    bool retry_budget = true; ///< off lets every failed try be repeated, the baseline of the measurements
     zone_policy zone;
     routing_policy routing;
     ledger_map_policy ledger_map;
--- a/include/waxwingfall/machine/upstream.h
+++ b/include/waxwingfall/machine/upstream.h
@@ -37,7 +37,8 @@
     upstream_pool(const upstream_pool&) = delete;
     upstream_pool& operator=(const upstream_pool&) = delete;
 
-    /// Sends a request and returns its number. The timeout covers each wait for the other side. Nothing is ever sent again.
+    /// Sends a request and returns its number. The timeout covers each wait for the other side. Nothing is
+    /// ever sent again.
     std::uint64_t send(const ip_address& address, const http_request& request, milliseconds timeout,
                        upstream_callbacks callbacks);
 
--- a/include/waxwingfall/machine/worker_gate.h
+++ b/include/waxwingfall/machine/worker_gate.h
@@ -58,7 +58,8 @@
     std::uint64_t next_id_ = 1;
     bool healthy_ = true;
     std::uint32_t failed_probes_ = 0;
-    std::vector<std::string> broken_fingerprints_; ///< of requests whose connection broke since the last probe
+    std::vector<std::string>
+        broken_fingerprints_; ///< of requests whose connection broke since the last probe
     http_server server_;
     loop_event sweep_;
     loop_event probe_;
--- a/include/waxwingfall/operator/commands.h
+++ b/include/waxwingfall/operator/commands.h
@@ -26,7 +26,7 @@
     ip_address platform;
     bool json = false;
     std::string author;
-    std::string operation; ///< the id that makes a write recognisable; made at random by the program
+    std::string operation;         ///< the id that makes a write recognisable; made at random by the program
     milliseconds patience{10'000}; ///< for which an unreachable platform is asked again
 };
 
--- a/include/waxwingfall/platform/head.h
+++ b/include/waxwingfall/platform/head.h
@@ -65,9 +65,9 @@
 /// recognised and never done twice, also after later versions.
 proposal_verdict judge_proposal(const environment_head& head, const proposal& wanted, wall_ms now);
 
-/// Why `version` of an environment may not be promoted, or an empty text. It behaved well if every data centre that
-/// reports enforces it on all of its nodes, none refused it, it has been so for `soak`, reports are fresh, and at most
-/// `max_failed_percent` of the calls since failed.
+/// Why `version` of an environment may not be promoted, or an empty text. It behaved well if every data
+/// centre that reports enforces it on all of its nodes, none refused it, it has been so for `soak`, reports
+/// are fresh, and at most `max_failed_percent` of the calls since failed.
 std::string why_not_promotable(const environment_head& head, std::uint64_t version,
                                const std::vector<wire::zone_report>& reports, wall_ms now, milliseconds soak,
                                double max_failed_percent);
--- a/include/waxwingfall/platform/store_client.h
+++ b/include/waxwingfall/platform/store_client.h
@@ -14,11 +14,11 @@
 /// How a call to the platform's key-value service ended.
 enum class store_status {
     ok,
-    absent,     ///< the key or the lease does not exist
-    conflict,   ///< the key has another revision than the expected one
-    unchanged,  ///< a watch ended without a change
+    absent,      ///< the key or the lease does not exist
+    conflict,    ///< the key has another revision than the expected one
+    unchanged,   ///< a watch ended without a change
     not_reached, ///< nothing was sent, or the service refused; nothing took effect
-    unknown     ///< no answer came; a write may have taken effect
+    unknown      ///< no answer came; a write may have taken effect
 };
 
 /// A value with the revision that a compare-and-swap names. Revision 0 stands for an absent key.
@@ -39,8 +39,8 @@
 
 using store_callback = std::function<void(const store_answer&)>;
 
-/// Calls to the platform's key-value service over HTTP; docs/platform.md describes the protocol. Each call has its own connection, so
-/// that one gone silent costs one call's timeout.
+/// Calls to the platform's key-value service over HTTP; docs/platform.md describes the protocol. Each call
+/// has its own connection, so that one gone silent costs one call's timeout.
 struct store_client {
     const event_loop* loop = nullptr;
     ip_address address;
@@ -57,8 +57,8 @@
                  store_callback done);
 
 /// Writes the key if its revision is `expected`. With a lease, the key disappears when the lease lapses.
-void write_value(const store_client& client, const std::string& key, std::uint64_t expected, const std::string& bytes,
-                 const std::string& lease, store_callback done);
+void write_value(const store_client& client, const std::string& key, std::uint64_t expected,
+                 const std::string& bytes, const std::string& lease, store_callback done);
 
 /// Writes the key whatever its revision.
 void overwrite_value(const store_client& client, const std::string& key, const std::string& bytes,
--- a/include/waxwingfall/standin/load.h
+++ b/include/waxwingfall/standin/load.h
@@ -17,17 +17,17 @@
 /// Settings of a load.
 struct load_options {
     std::vector<ip_address> nodes;
-    double rate = 100;             ///< new requests a second
+    double rate = 100; ///< new requests a second
     milliseconds duration{5000};
-    double post_share = 0.3;       ///< of requests that are non-idempotent
+    double post_share = 0.3; ///< of requests that are non-idempotent
     std::string host;
     std::string get_path;
     std::string post_path;
-    std::uint32_t sends = 8;       ///< of one request by its caller, the first included
+    std::uint32_t sends = 8; ///< of one request by its caller, the first included
     milliseconds resend_pause{250};
-    milliseconds timeout{5000};    ///< for one answer
+    milliseconds timeout{5000}; ///< for one answer
     std::uint64_t seed = 1;
-    bool fresh_keys = false;       ///< resend a request that was refused as not run under a new key
+    bool fresh_keys = false; ///< resend a request that was refused as not run under a new key
 };
 
 /// What a caller was told in the end.
--- a/include/waxwingfall/standin/worker_service.h
+++ b/include/waxwingfall/standin/worker_service.h
@@ -19,14 +19,14 @@
     std::string name;
     ip_address address;
     std::uint32_t slots = 12;
-    milliseconds run_time{10};   ///< of a request on a warm worker
-    milliseconds cold_time{0};   ///< after the start, for which requests take three times as long
-    std::string run_log;         ///< a line for each request that ran: its key or number, and how it ended
+    milliseconds run_time{10}; ///< of a request on a warm worker
+    milliseconds cold_time{0}; ///< after the start, for which requests take three times as long
+    std::string run_log;       ///< a line for each request that ran: its key or number, and how it ended
 };
 
-/// A stand-in for a backend server: runs requests in a bounded number of slots, sheds load with a promise that
-/// nothing ran, heeds deadlines and cancellation, and writes down each request that it ran. Paths under /control change
-/// its behaviour: drain, lie about health, crash on a marked request, stall.
+/// A stand-in for a backend server: runs requests in a bounded number of slots, sheds load with a promise
+/// that nothing ran, heeds deadlines and cancellation, and writes down each request that it ran. Paths under
+/// /control change its behaviour: drain, lie about health, crash on a marked request, stall.
 class worker_service {
 public:
     worker_service(const event_loop& loop, const worker_options& options);
--- a/include/waxwingfall/support/error.h
+++ b/include/waxwingfall/support/error.h
@@ -31,16 +31,11 @@
     file_unreadable,
     version_conflict,
     not_promotable,
-    no_such_version,
     wait_expired,
     platform_unavailable,
     platform_corrupt,
-    // Distribution between nodes.
-    digest_mismatch,
-    base_not_held,
     // Callers' requests.
     malformed_request,
-    body_too_large,
     no_configuration,
     no_route,
     no_endpoint,
@@ -58,7 +53,6 @@
     crash_quarantined,
     worker_unreachable,
     worker_failed,
-    caller_gone,
     // Start-up.
     address_in_use,
 };
--- a/include/waxwingfall/support/event_log.h
+++ b/include/waxwingfall/support/event_log.h
@@ -37,10 +37,6 @@
     worker_crashed = 500,
     request_quarantined = 501,
     worker_health_changed = 502,
-    call_refused = 510,
-    call_unknown = 511,
-    version_accepted = 600,
-    proposal_refused = 601,
 };
 
 /// One row of the catalogue.
--- a/include/waxwingfall/support/hybrid_clock.h
+++ b/include/waxwingfall/support/hybrid_clock.h
@@ -8,7 +8,8 @@
 
 namespace waxwingfall {
 
-/// A hybrid logical clock (Kulkarni et al. 2014): wall-clock milliseconds in the upper 48 bits, a counter in the lower
+/// A hybrid logical clock (Kulkarni et al. 2014): wall-clock milliseconds in the upper 48 bits, a counter in
+/// the lower
 /// 16. Carried on messages, it orders the events of all processes so that a cause comes before its effects.
 struct hybrid_clock {
     std::uint64_t last = 0;
--- a/include/waxwingfall/support/time.h
+++ b/include/waxwingfall/support/time.h
@@ -12,7 +12,8 @@
 /// A length of time in milliseconds, the unit of all settings and deadlines.
 using milliseconds = std::chrono::milliseconds;
 
-/// Milliseconds of wall-clock time since the Unix epoch, used only in keys and records that leave the process.
+/// Milliseconds of wall-clock time since the Unix epoch, used only in keys and records that leave the
+/// process.
 using wall_ms = std::uint64_t;
 
 /// Whole milliseconds from `earlier` to `later`; negative if they are the other way round.
--- a/include/waxwingfall/support/yaml_tree.h
+++ b/include/waxwingfall/support/yaml_tree.h
@@ -52,8 +52,10 @@
     /// The value under `key`, or nothing if `map` is no map or lacks it; a missing required key is a fault.
     const yaml_value* child(const yaml_value& map, std::string_view key, bool required);
 
-    /// Checks that `value` is a map whose keys are all in `known`; other keys are faults that name the known ones.
-    bool expect_map(const yaml_value& value, std::string_view what, const std::vector<std::string_view>& known);
+    /// Checks that `value` is a map whose keys are all in `known`; other keys are faults that name the known
+    /// ones.
+    bool expect_map(const yaml_value& value, std::string_view what,
+                    const std::vector<std::string_view>& known);
 
     /// The text under `key`; `fallback` if it is absent and not required. Empty text is a fault.
     std::string text(const yaml_value& map, std::string_view key, bool required, std::string fallback = {});
@@ -73,8 +75,8 @@
     std::vector<fault>* faults_;
 };
 
-/// Reads a whole file of at most one megabyte and a byte; a longer one is cut there, so that the parser refuses
-/// it. Returns nothing if the file can't be read.
+/// Reads a whole file of at most one megabyte and a byte; a longer one is cut there, so that the parser
+/// refuses it. Returns nothing if the file can't be read.
 std::optional<std::string> read_bounded_file(const std::string& path);
 
 } // namespace waxwingfall
--- a/include/waxwingfall/zone/distribution.h
+++ b/include/waxwingfall/zone/distribution.h
@@ -26,10 +26,11 @@
 /// Settings of distribution.
 struct distribution_policy {
     milliseconds pull_timeout{400}; ///< until another source is asked
-    milliseconds settle_time{300};  ///< after a start, for which answers are collected before anything is enforced
-    bool use_deltas = true;         ///< off sends whole content, the baseline of the measurements
-    bool eager = true;              ///< send content with the news instead of only its mark: fewer round trips, more bytes
-    std::size_t kept_contents = 4;  ///< as bases for deltas
+    milliseconds settle_time{
+        300};               ///< after a start, for which answers are collected before anything is enforced
+    bool use_deltas = true; ///< off sends whole content, the baseline of the measurements
+    bool eager = true; ///< send content with the news instead of only its mark: fewer round trips, more bytes
+    std::size_t kept_contents = 4; ///< as bases for deltas
     std::size_t kept_bytes = 2'000'000;
     auto operator<=>(const distribution_policy&) const = default;
 };
@@ -55,8 +56,9 @@
     bool whole = false;
 };
 
-/// What a node holds of one kind of versioned content: the part in force, the newest part that it can hand on (which it
-/// may have refused), and what it is fetching. `enforced` and `held` only ever move to higher versions.
+/// What a node holds of one kind of versioned content: the part in force, the newest part that it can hand on
+/// (which it may have refused), and what it is fetching. `enforced` and `held` only ever move to higher
+/// versions.
 struct distribution {
     distribution_policy policy;
     content_rules rules;
@@ -69,8 +71,8 @@
     std::optional<pending_pull> pull;
     std::deque<std::string> sources; ///< addresses that announced `newest_known`, the latest first
     time_point settled_at;
-    std::uint64_t conflicts = 0;     ///< marks seen with a held version and another digest
-    std::uint64_t bad_contents = 0;  ///< contents that did not have the announced digest
+    std::uint64_t conflicts = 0;    ///< marks seen with a held version and another digest
+    std::uint64_t bad_contents = 0; ///< contents that did not have the announced digest
 };
 
 /// What a step asks for. `spread` holds marks or contents for every neighbour; the caller knows who they are.
@@ -83,19 +85,22 @@
 };
 
 /// A node's empty state at its start. Nothing is enforced before `now` plus the settle time.
-distribution start_distribution(const distribution_policy& policy, content_rules rules, bool is_ledger, time_point now);
+distribution start_distribution(const distribution_policy& policy, content_rules rules, bool is_ledger,
+                                time_point now);
 
 /// Takes in the news that `mark` exists and can be had at `source`; an empty source means the platform, whose
 /// reader fetches the content itself.
 distribution_effects learn_mark(distribution& state, const version_mark& mark, const std::string& source,
                                 time_point now);
 
-/// Answers a pull with a delta against the puller's base, or with the whole if that is shorter or the base is not kept.
-distribution_effects handle_pull(const distribution& state, const wire::pull& pull, const std::string& reply_to);
+/// Answers a pull with a delta against the puller's base, or with the whole if that is shorter or the base is
+/// not kept.
+distribution_effects handle_pull(const distribution& state, const wire::pull& pull,
+                                 const std::string& reply_to);
 
 /// Takes in content from a peer: applies a delta, checks digest and rules, then enforces or refuses it whole.
-distribution_effects handle_content(distribution& state, const wire::content& content, const std::string& source,
-                                    time_point now);
+distribution_effects handle_content(distribution& state, const wire::content& content,
+                                    const std::string& source, time_point now);
 
 /// Takes in whole content that was read from the platform.
 distribution_effects take_content(distribution& state, const marked_content& content, time_point now);
@@ -103,8 +108,8 @@
 /// Asks another source if a pull has waited too long, and enforces what was held back at the start.
 distribution_effects tick_distribution(distribution& state, time_point now);
 
-/// The message that tells a neighbour of the newest held content. With the eager policy it carries the delta from
-/// the content held before, if that is at most `eager_bytes` long.
+/// The message that tells a neighbour of the newest held content. With the eager policy it carries the delta
+/// from the content held before, if that is at most `eager_bytes` long.
 wire::frame spread_message(const distribution& state);
 
 /// Conversions of marks to and from the message form.
--- a/include/waxwingfall/zone/member.h
+++ b/include/waxwingfall/zone/member.h
@@ -53,7 +53,8 @@
 
 /// The first `count` ids of `candidates` in the order of their rendezvous hash with `topic`. All nodes that
 /// hold the same candidates compute the same answer, and one lost candidate moves no other.
-std::vector<member_id> rendezvous_top(std::vector<member_id> candidates, std::string_view topic, std::size_t count);
+std::vector<member_id> rendezvous_top(std::vector<member_id> candidates, std::string_view topic,
+                                      std::size_t count);
 
 } // namespace waxwingfall
 
--- a/include/waxwingfall/zone/membership.h
+++ b/include/waxwingfall/zone/membership.h
@@ -15,17 +15,17 @@
 
 /// Periods and limits of membership, in milliseconds unless the name says otherwise.
 struct membership_policy {
-    milliseconds probe_period{1000};         ///< between probes of the ring's next node and of one finger
-    milliseconds bridge_period{2000};        ///< between probes of the bridges of other data centres
-    milliseconds probe_timeout{600};         ///< without an answer, other nodes are asked to probe
-    milliseconds suspicion_timeout{2000};    ///< between suspicion and death
+    milliseconds probe_period{1000};          ///< between probes of the ring's next node and of one finger
+    milliseconds bridge_period{2000};         ///< between probes of the bridges of other data centres
+    milliseconds probe_timeout{600};          ///< without an answer, other nodes are asked to probe
+    milliseconds suspicion_timeout{2000};     ///< between suspicion and death
     milliseconds tombstone_lifetime{3600000}; ///< how long a dead node's record is kept
-    milliseconds sync_spacing{1000};         ///< least time between table exchanges with one peer
-    milliseconds join_backoff_base{200};     ///< first wait of a joiner; doubles up to the limit
+    milliseconds sync_spacing{1000};          ///< least time between table exchanges with one peer
+    milliseconds join_backoff_base{200};      ///< first wait of a joiner; doubles up to the limit
     milliseconds join_backoff_limit{10000};
-    std::uint32_t join_burst = 10;            ///< joiners served at once
-    std::uint32_t joins_per_second = 20;      ///< joiners served later on
-    std::size_t bridges_per_data_centre = 2;  ///< nodes that read the platform and link data centres
+    std::uint32_t join_burst = 10;           ///< joiners served at once
+    std::uint32_t joins_per_second = 20;     ///< joiners served later on
+    std::size_t bridges_per_data_centre = 2; ///< nodes that read the platform and link data centres
     std::size_t indirect_probers = 2;
     auto operator<=>(const membership_policy&) const = default;
 };
@@ -56,9 +56,9 @@
     time_point refilled;
 };
 
-/// All that a node knows of the other nodes of its environment. The nodes of a data centre form a ring in the order of
-/// their ids; each probes the next one and its fingers, at distances 1, 2, 4 and so on, and passes news on to
-/// its fingers. The bridges of a data centre pass news to and from the other data centres.
+/// All that a node knows of the other nodes of its environment. The nodes of a data centre form a ring in the
+/// order of their ids; each probes the next one and its fingers, at distances 1, 2, 4 and so on, and passes
+/// news on to its fingers. The bridges of a data centre pass news to and from the other data centres.
 struct membership {
     membership_policy policy;
     member self;
@@ -77,16 +77,17 @@
     std::vector<std::string> contacts; ///< control addresses to join at
     std::uint32_t join_attempts = 0;
     time_point next_join;
+    std::uint64_t name_conflicts = 0;           ///< records of this node's name with another address
     std::map<member_id, time_point> last_heard; ///< of bridges of other data centres
 };
 
 /// The state of a node that starts at `now` with the given record and addresses of possible peers.
-membership start_membership(const membership_policy& policy, const member& self, std::vector<std::string> contacts,
-                            time_point now);
+membership start_membership(const membership_policy& policy, const member& self,
+                            std::vector<std::string> contacts, time_point now);
 
-/// Takes in records from anywhere, keeps the newer ones, and passes those on. `from_data_centre` is that of the sender; news
-/// is carried across data centres only by a bridge of the data centre where it arose. News of `self` that is
-/// not true is refuted.
+/// Takes in records from anywhere, keeps the newer ones, and passes those on. `from_data_centre` is that of
+/// the sender; news is carried across data centres only by a bridge of the data centre where it arose. News
+/// of `self` that is not true is refuted.
 membership_effects merge_members(membership& state, const std::vector<member>& records,
                                  const std::string& from_data_centre, time_point now);
 
@@ -99,7 +100,8 @@
 /// Sends what is due at `now`: probes, suspicions, deaths, attempts to join. Call it at least every 100 ms.
 membership_effects tick_membership(membership& state, time_point now, random_source& random);
 
-/// Notes the answer to a probe. An answer that came after all refutes nothing by itself: the suspected node does.
+/// Notes the answer to a probe. An answer that came after all refutes nothing by itself: the suspected node
+/// does.
 void handle_ack(membership& state, std::uint64_t sequence, member_id from, time_point now);
 
 /// Probes a node on behalf of another one.
@@ -115,12 +117,13 @@
                                        const std::string& reply_to);
 
 /// Takes in the answer of an exchange and sends what the peer wants.
-membership_effects handle_sync_answer(membership& state, const wire::sync_answer& answer, const std::string& reply_to,
-                                      const std::string& from_data_centre, time_point now);
+membership_effects handle_sync_answer(membership& state, const wire::sync_answer& answer,
+                                      const std::string& reply_to, const std::string& from_data_centre,
+                                      time_point now);
 
 /// Admits a joiner, or names other nodes to ask if too many came at once.
-membership_effects handle_join(membership& state, const member& joiner, const std::string& reply_to, time_point now,
-                               random_source& random);
+membership_effects handle_join(membership& state, const member& joiner, const std::string& reply_to,
+                               time_point now, random_source& random);
 
 /// Takes in the answer to an attempt to join.
 membership_effects handle_join_answer(membership& state, const wire::join_answer& answer,
--- a/include/waxwingfall/zone/zone.h
+++ b/include/waxwingfall/zone/zone.h
@@ -28,11 +28,12 @@
     membership_policy membership;
     distribution_policy distribution;
     milliseconds report_period{10000}; ///< between reports to the first bridge while nothing changes
+    milliseconds report_spread{400};   ///< over which the nodes' reports to a new first bridge are spread
     auto operator<=>(const zone_policy&) const = default;
 };
 
-/// The control plane of one node: who is there, and what is accepted. All functions on it are pure but for the
-/// state that they are given.
+/// The control plane of one node: who is there, and what is accepted. All functions on it are pure but for
+/// the state that they are given.
 struct zone {
     zone_policy policy;
     std::string environment;
@@ -43,6 +44,7 @@
     std::uint64_t calls = 0;                    ///< counted by the call path, carried by reports
     std::uint64_t failed_calls = 0;
     time_point next_report;
+    member_id reported_to = 0;        ///< the first bridge that got the last report
     std::uint64_t foreign_frames = 0; ///< of another environment; dropped
 };
 
@@ -61,7 +63,8 @@
 zone start_zone(const zone_policy& policy, const std::string& environment, const member& self,
                 std::vector<std::string> contacts, content_rules contract_rules, time_point now);
 
-/// Takes in one message. Frames of another environment, and kinds that the zone does not handle, change nothing.
+/// Takes in one message. Frames of another environment, and kinds that the zone does not handle, change
+/// nothing.
 zone_effects handle_frame(zone& state, const wire::frame& frame, time_point now, random_source& random);
 
 /// Sends what is due at `now`. Call it at least every 100 ms.
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -41,7 +41,8 @@
 admission_turn release_slot(admission& state, milliseconds ran, time_point now) {
     state.running -= std::min(state.running, 1U);
     const auto sample = static_cast<double>(ran.count());
-    state.mean_run_ms = state.mean_run_ms == 0 ? sample : state.mean_run_ms * (1 - mean_weight) + sample * mean_weight;
+    state.mean_run_ms =
+        state.mean_run_ms == 0 ? sample : state.mean_run_ms * (1 - mean_weight) + sample * mean_weight;
     return review_queue(state, now);
 }
 
--- a/lib/call/claimant.cpp
+++ b/lib/call/claimant.cpp
@@ -15,8 +15,8 @@
     return nullptr;
 }
 
-void send_settlement(const claimant& state, open_settlement& open, const ledger_map& map, const membership& nodes,
-                     time_point now, claimant_effects& effects) {
+void send_settlement(const claimant& state, open_settlement& open, const ledger_map& map,
+                     const membership& nodes, time_point now, claimant_effects& effects) {
     open.tries += 1;
     open.next_try = now + state.policy.settle_period;
     const shard_owners* owners = owners_of(map, open.shard);
@@ -33,8 +33,8 @@
 } // namespace
 
 std::optional<std::uint64_t> start_claim(claimant& state, const ledger_map& map, const membership& nodes,
-                                         const idempotency_key& key, const std::string& fingerprint, time_point now,
-                                         random_source& random, claimant_effects& effects) {
+                                         const idempotency_key& key, const std::string& fingerprint,
+                                         time_point now, random_source& random, claimant_effects& effects) {
     const auto home = home_of(map, key);
     if (!home || !nodes.members.contains(home->owners.primary)) {
         return std::nullopt;
@@ -83,8 +83,8 @@
     return effects;
 }
 
-claimant_effects settle_claim(claimant& state, const ledger_map& map, const membership& nodes, wire::record settled,
-                              time_point now) {
+claimant_effects settle_claim(claimant& state, const ledger_map& map, const membership& nodes,
+                              wire::record settled, time_point now) {
     claimant_effects effects;
     const std::uint64_t attempt = settled.attempt();
     const auto shard = state.shard_of.find(attempt);
@@ -107,7 +107,8 @@
     return settle_claim(state, map, nodes, std::move(released), now);
 }
 
-claimant_effects tick_claimant(claimant& state, const ledger_map& map, const membership& nodes, time_point now) {
+claimant_effects tick_claimant(claimant& state, const ledger_map& map, const membership& nodes,
+                               time_point now) {
     claimant_effects effects;
     for (auto& [attempt, waiting] : state.waiting) {
         if (waiting.sent != time_point::max() && now - waiting.sent > state.policy.claim_timeout) {
--- a/lib/call/idempotency_key.cpp
+++ b/lib/call/idempotency_key.cpp
@@ -80,8 +80,8 @@
     }
     bytes[8] = static_cast<unsigned char>(0x80U | (bytes[8] & 0x3fU));
     const std::string digits = to_hex({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
-    return digits.substr(0, 8) + "-" + digits.substr(8, 4) + "-" + digits.substr(12, 4) + "-" + digits.substr(16, 4) +
-           "-" + digits.substr(20);
+    return digits.substr(0, 8) + "-" + digits.substr(8, 4) + "-" + digits.substr(12, 4) + "-" +
+           digits.substr(16, 4) + "-" + digits.substr(20);
 }
 
 } // namespace waxwingfall
--- a/lib/call/ledger.cpp
+++ b/lib/call/ledger.cpp
@@ -73,8 +73,8 @@
 }
 
 /// Sends all records of a shard to its new backup, in parts.
-void transfer(const ledger& state, std::uint32_t index, ledger_shard& shard, const membership& nodes, time_point now,
-              std::vector<outgoing>& messages) {
+void transfer(const ledger& state, std::uint32_t index, ledger_shard& shard, const membership& nodes,
+              time_point now, std::vector<outgoing>& messages) {
     shard.next_transfer = now + state.policy.transfer_period;
     const std::uint64_t first = shard.next_sequence;
     const auto new_part = [&] {
@@ -158,8 +158,8 @@
     }
 }
 
-bool may_grant(const ledger& state, const ledger_shard& shard, const wire::claim& claim, const membership& nodes,
-               time_point now) {
+bool may_grant(const ledger& state, const ledger_shard& shard, const wire::claim& claim,
+               const membership& nodes, time_point now) {
     return shard.is_primary && shard.ready && now >= shard.held_until && !state.fenced &&
            shard.owners.epoch == claim.epoch() && state.record_count < state.policy.max_records &&
            sees_majority(nodes, now, state.policy.majority_window);
@@ -205,7 +205,8 @@
     return in;
 }
 
-void adopt_ledger_map(ledger& state, const ledger_map& map, member_id self, time_point now, wall_ms wall_now) {
+void adopt_ledger_map(ledger& state, const ledger_map& map, member_id self, time_point now,
+                      wall_ms wall_now) {
     if (map.version <= state.map.version) {
         return;
     }
@@ -239,7 +240,8 @@
     if (known != shard.records.end()) {
         // A claim that is still on its way to the backup must not be answered for another attempt yet: it may
         // be given up, and then its request did not run.
-        return {claim_answer(reply_to, claim.attempt(), verdict_on_record(known->second, claim), &known->second)};
+        return {
+            claim_answer(reply_to, claim.attempt(), verdict_on_record(known->second, claim), &known->second)};
     }
     const wall_ms made = key_time(claim.key());
     if (made + static_cast<wall_ms>(state.policy.retention.count()) < wall_now) {
@@ -248,7 +250,8 @@
     if (made < shard.amnesia_before) {
         return {claim_answer(reply_to, claim.attempt(), claim_verdict::doubtful)};
     }
-    const ledger_record record{claim.key(), claim.fingerprint(), claim.attempt(), record_state::claimed, 0, {}, {}, true};
+    const ledger_record record{
+        claim.key(), claim.fingerprint(), claim.attempt(), record_state::claimed, 0, {}, {}, true};
     put_record(state, shard, record);
     outgoing message = to_backup(claim.shard(), shard, nodes);
     *message.frame.mutable_replicate()->add_records() = to_wire(record);
@@ -256,7 +259,8 @@
     return {message};
 }
 
-std::vector<outgoing> handle_replicate(ledger& state, const wire::replicate& message, const std::string& reply_to) {
+std::vector<outgoing> handle_replicate(ledger& state, const wire::replicate& message,
+                                       const std::string& reply_to) {
     ledger_shard& shard = state.shards[message.shard()];
     outgoing reply;
     reply.address = reply_to;
@@ -271,7 +275,8 @@
         return {reply};
     }
     if (message.epoch() > shard.owners.epoch) {
-        // The map that makes this node the backup is still on its way here; from now on older owners are refused.
+        // The map that makes this node the backup is still on its way here; from now on older owners are
+        // refused.
         shard.owners = {0, 0, message.epoch()};
         shard.is_primary = false;
         shard.ready = false;
@@ -304,8 +309,8 @@
         return {};
     }
     if (message.incomplete()) {
-        // The backup was replaced by an empty process under the same name; it needs the whole shard first. The
-        // claim itself is recorded on both, so it may be granted.
+        // The backup was replaced by an empty process under the same name; it needs the whole shard first.
+        // The claim itself is recorded on both, so it may be granted.
         shard.ready = false;
     }
     const auto grant = shard.grants.find(message.sequence());
@@ -356,7 +361,8 @@
                 continue;
             }
             // Never granted, so nobody runs it; the backup may keep the record, which only refuses more.
-            messages.push_back(claim_answer(grant->second.reply_to, grant->second.attempt, claim_verdict::unavailable));
+            messages.push_back(
+                claim_answer(grant->second.reply_to, grant->second.attempt, claim_verdict::unavailable));
             erase_record(state, shard, grant->second.key);
             grant = shard.grants.erase(grant);
         }
--- a/lib/call/ledger_map.cpp
+++ b/lib/call/ledger_map.cpp
@@ -38,12 +38,14 @@
     return found;
 }
 
-std::vector<member_id> best_owners(const membership& nodes, const std::string& data_centre, std::size_t shard) {
+std::vector<member_id> best_owners(const membership& nodes, const std::string& data_centre,
+                                   std::size_t shard) {
     return rendezvous_top(alive_in(nodes, data_centre), data_centre + "#" + std::to_string(shard), 3);
 }
 
 /// The best owner that is not `other`, or 0 if there is none.
-member_id replacement(const membership& nodes, const std::string& data_centre, std::size_t shard, member_id other) {
+member_id replacement(const membership& nodes, const std::string& data_centre, std::size_t shard,
+                      member_id other) {
     for (const member_id candidate : best_owners(nodes, data_centre, shard)) {
         if (candidate != other) {
             return candidate;
@@ -57,9 +59,9 @@
     return since == nodes.state_since.end() || now - since->second > delay;
 }
 
-std::optional<shard_owners> plan_shard(const shard_owners& owners, const std::string& data_centre, std::size_t shard,
-                                       const ledger_map_policy& policy, const membership& nodes,
-                                       time_point now) {
+std::optional<shard_owners> plan_shard(const shard_owners& owners, const std::string& data_centre,
+                                       std::size_t shard, const ledger_map_policy& policy,
+                                       const membership& nodes, time_point now) {
     const owner_state primary = state_of(nodes, owners.primary, data_centre);
     const owner_state backup = state_of(nodes, owners.backup, data_centre);
     const bool primary_goes = primary == owner_state::lost || primary == owner_state::leaving;
@@ -90,8 +92,8 @@
     return next;
 }
 
-std::optional<ledger_zone> plan_zone(const ledger_map& map, const ledger_map_policy& policy, const membership& nodes,
-                                     time_point now, wall_ms wall_now) {
+std::optional<ledger_zone> plan_zone(const ledger_map& map, const ledger_map_policy& policy,
+                                     const membership& nodes, time_point now, wall_ms wall_now) {
     const std::string& data_centre = nodes.self.data_centre;
     const auto alive = alive_in(nodes, data_centre);
     const bool stable = std::all_of(alive.begin(), alive.end(), [&](member_id id) {
@@ -103,9 +105,10 @@
     ledger_zone zone;
     zone.data_centre = data_centre;
     // While no key has a home yet, the first data centres may start at once.
-    const bool anything_lives =
-        std::any_of(map.zones.begin(), map.zones.end(), [&](const ledger_zone& other) { return other.born <= wall_now; });
-    zone.born = wall_now + static_cast<wall_ms>(anything_lives ? policy.zone_activation.count() : policy.birth_delay.count());
+    const bool anything_lives = std::any_of(map.zones.begin(), map.zones.end(),
+                                            [&](const ledger_zone& other) { return other.born <= wall_now; });
+    zone.born = wall_now + static_cast<wall_ms>(anything_lives ? policy.zone_activation.count()
+                                                               : policy.birth_delay.count());
     for (std::uint32_t shard = 0; shard < policy.shards_per_zone; ++shard) {
         const auto owners = best_owners(nodes, data_centre, shard);
         zone.shards.push_back({owners[0], owners[1], 1});
--- a/lib/call/quarantine.cpp
+++ b/lib/call/quarantine.cpp
@@ -7,11 +7,12 @@
 namespace {
 
 void forget_old(quarantine& state, time_point now) {
-    std::erase_if(state.suspects, [&](const auto& entry) { return now - entry.second.last > state.policy.memory; });
+    std::erase_if(state.suspects,
+                  [&](const auto& entry) { return now - entry.second.last > state.policy.memory; });
     while (state.suspects.size() >= state.policy.max_fingerprints) {
-        const auto oldest =
-            std::min_element(state.suspects.begin(), state.suspects.end(),
-                             [](const auto& left, const auto& right) { return left.second.last < right.second.last; });
+        const auto oldest = std::min_element(
+            state.suspects.begin(), state.suspects.end(),
+            [](const auto& left, const auto& right) { return left.second.last < right.second.last; });
         state.suspects.erase(oldest);
     }
 }
--- a/lib/call/routing.cpp
+++ b/lib/call/routing.cpp
@@ -34,12 +34,14 @@
 double load_of(const endpoint& candidate, const routing_policy& policy, time_point now) {
     const bool believed = now - candidate.reported_at <= policy.load_lifetime;
     const double reported = believed ? candidate.reported_load : 0.0;
-    return std::max(reported, static_cast<double>(candidate.in_flight)) / counted_slots(candidate, policy, now);
+    return std::max(reported, static_cast<double>(candidate.in_flight)) /
+           counted_slots(candidate, policy, now);
 }
 
 using endpoint_refs = std::vector<const endpoint*>;
 
-endpoint_refs at_distance(const routing_table& table, const std::map<member_id, endpoint>& group, int wanted) {
+endpoint_refs at_distance(const routing_table& table, const std::map<member_id, endpoint>& group,
+                          int wanted) {
     endpoint_refs found;
     for (const auto& [id, candidate] : group) {
         if (distance(table, candidate) == wanted) {
@@ -49,13 +51,15 @@
     return found;
 }
 
-/// The candidates that are not ejected, unless too few would remain: then failures say more about the caller's
-/// own view than about the endpoints.
-endpoint_refs heeding_ejections(const endpoint_refs& candidates, const routing_policy& policy, time_point now) {
+/// The candidates that are not ejected, unless too few would remain: then failures say more about the
+/// caller's own view than about the endpoints.
+endpoint_refs heeding_ejections(const endpoint_refs& candidates, const routing_policy& policy,
+                                time_point now) {
     constexpr std::size_t percent = 100;
     endpoint_refs healthy;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(healthy),
-                 [&](const endpoint* candidate) { return now >= candidate->ejected_until && !candidate->suspect; });
+    std::copy_if(
+        candidates.begin(), candidates.end(), std::back_inserter(healthy),
+        [&](const endpoint* candidate) { return now >= candidate->ejected_until && !candidate->suspect; });
     const bool enough = healthy.size() * percent >= candidates.size() * policy.healthy_floor_percent;
     return enough ? healthy : candidates;
 }
@@ -83,7 +87,8 @@
 }
 
 /// The candidates for which `passes` holds, or all of them if it holds for none.
-template <typename Predicate> endpoint_refs preferring(const endpoint_refs& candidates, const Predicate& passes) {
+template <typename Predicate>
+endpoint_refs preferring(const endpoint_refs& candidates, const Predicate& passes) {
     endpoint_refs preferred;
     std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(preferred), passes);
     return preferred.empty() ? candidates : preferred;
@@ -137,7 +142,8 @@
 }
 
 std::optional<member_id> pick_endpoint(routing_table& table, const std::string& service,
-                                       const std::vector<member_id>& tried, time_point now, random_source& random) {
+                                       const std::vector<member_id>& tried, time_point now,
+                                       random_source& random) {
     const auto group = table.services.find(service);
     if (group == table.services.end()) {
         return std::nullopt;
--- a/lib/contract/document.cpp
+++ b/lib/contract/document.cpp
@@ -43,13 +43,15 @@
     if (!reader.expect_map(body, "a service", {"timeout_ms", "retries", "limits", "depends_on"})) {
         return service;
     }
-    service.timeout_ms = reader.number(body, "timeout_ms", min_timeout_ms, max_timeout_ms, default_timeout_ms);
+    service.timeout_ms =
+        reader.number(body, "timeout_ms", min_timeout_ms, max_timeout_ms, default_timeout_ms);
     service.max_attempts = default_max_attempts;
     service.retry_budget_percent = default_retry_budget_percent;
     service.queue = default_queue;
     const yaml_value* retries = reader.child(body, "retries", false);
     if (retries != nullptr && reader.expect_map(*retries, "retries", {"max_attempts", "budget_percent"})) {
-        service.max_attempts = reader.number(*retries, "max_attempts", 1, max_attempts_limit, default_max_attempts);
+        service.max_attempts =
+            reader.number(*retries, "max_attempts", 1, max_attempts_limit, default_max_attempts);
         service.retry_budget_percent = reader.number(*retries, "budget_percent", 0, max_retry_budget_percent,
                                                      default_retry_budget_percent);
     }
@@ -115,17 +117,22 @@
     });
 }
 
+bool has_empty_part(const route_contract& route) {
+    return route.host.empty() || route.prefix.empty() || route.service.empty();
+}
+
 void check_meaning(const placed_contract& read, std::vector<fault>& faults) {
     const bool well_formed = faults.empty();
     for (const violation& found : find_violations(read.content)) {
         const bool about_service = found.what == violation::subject::service;
-        const fault candidate{found.kind,
-                              about_service ? read.service_places[found.index] : read.route_places[found.index],
-                              found.message};
-        // Defaults stand in for values that could not be read, so only references are worth a second look then.
-        const bool about_values = found.kind == error_kind::out_of_range;
-        const bool of_empty_name = found.message.find("''") != std::string::npos;
-        if ((well_formed || (!about_values && !of_empty_name)) && !already_reported(faults, candidate)) {
+        const fault candidate{
+            found.kind, about_service ? read.service_places[found.index] : read.route_places[found.index],
+            found.message};
+        // A value that is missing or has the wrong type is a fault already; its default stands in for it
+        // here.
+        const bool stands_in =
+            !well_formed && (about_service ? false : has_empty_part(read.content.routes[found.index]));
+        if (!stands_in && !already_reported(faults, candidate)) {
             faults.push_back(candidate);
         }
     }
--- a/lib/contract/rules.cpp
+++ b/lib/contract/rules.cpp
@@ -11,7 +11,8 @@
 bool is_name(std::string_view text) {
     constexpr std::size_t longest = 63;
     const auto allowed = [](char letter) {
-        return (letter >= 'a' && letter <= 'z') || (letter >= '0' && letter <= '9') || letter == '-' || letter == '_';
+        return (letter >= 'a' && letter <= 'z') || (letter >= '0' && letter <= '9') || letter == '-' ||
+               letter == '_';
     };
     return !text.empty() && text.size() <= longest && std::all_of(text.begin(), text.end(), allowed);
 }
@@ -19,14 +20,17 @@
 bool is_host(std::string_view text) {
     constexpr std::size_t longest = 253;
     const auto allowed = [](char letter) {
-        return (letter >= 'a' && letter <= 'z') || (letter >= '0' && letter <= '9') || letter == '-' || letter == '.';
+        return (letter >= 'a' && letter <= 'z') || (letter >= '0' && letter <= '9') || letter == '-' ||
+               letter == '.';
     };
     return !text.empty() && text.size() <= longest && std::all_of(text.begin(), text.end(), allowed);
 }
 
 bool is_prefix(std::string_view text) {
     constexpr std::size_t longest = 512;
-    const auto allowed = [](char letter) { return letter > ' ' && letter < 0x7f && letter != '?' && letter != '#'; };
+    const auto allowed = [](char letter) {
+        return letter > ' ' && letter < 0x7f && letter != '?' && letter != '#';
+    };
     return !text.empty() && text.front() == '/' && text.size() <= longest &&
            std::all_of(text.begin(), text.end(), allowed);
 }
@@ -88,8 +92,8 @@
             }
             if (state_[found->second] == open) {
                 found_.push_back({violation::subject::service, index, error_kind::dependency_cycle,
-                                  "service '" + content_.services[index].name + "' depends on '" + found->first +
-                                      "', which depends on it in turn"});
+                                  "service '" + content_.services[index].name + "' depends on '" +
+                                      found->first + "', which depends on it in turn"});
             } else if (state_[found->second] == unseen) {
                 state_[found->second] = open;
                 path.emplace_back(found->second, 0);
@@ -121,7 +125,8 @@
     const bool numbers = in_range(service.timeout_ms, min_timeout_ms, max_timeout_ms) &&
                          in_range(service.max_attempts, 1, max_attempts_limit) &&
                          in_range(service.retry_budget_percent, 0, max_retry_budget_percent) &&
-                         in_range(service.in_flight, 0, max_in_flight) && in_range(service.queue, 0, max_queue);
+                         in_range(service.in_flight, 0, max_in_flight) &&
+                         in_range(service.queue, 0, max_queue);
     if (!numbers) {
         add(error_kind::out_of_range, "service '" + service.name + "' has a number outside its range");
     }
@@ -140,7 +145,8 @@
         add(error_kind::out_of_range, "a prefix starts with '/' and has no blank, '?' or '#'");
     }
     if (!names.contains(route.service)) {
-        add(error_kind::dangling_reference, "service '" + route.service + "' is not defined in this document");
+        add(error_kind::dangling_reference,
+            "service '" + route.service + "' is not defined in this document");
     }
     if (route.timeout_ms != 0 && !in_range(route.timeout_ms, min_timeout_ms, max_timeout_ms)) {
         add(error_kind::out_of_range, "the timeout is outside its range");
@@ -168,8 +174,9 @@
         const route_contract& route = content.routes[index];
         check_route(content, index, names, found);
         if (!seen.emplace(std::pair(route.host, normal_prefix(route.prefix)), index).second) {
-            found.push_back({violation::subject::route, index, error_kind::overlapping_route,
-                             "another route matches host '" + route.host + "' and prefix '" + route.prefix + "'"});
+            found.push_back(
+                {violation::subject::route, index, error_kind::overlapping_route,
+                 "another route matches host '" + route.host + "' and prefix '" + route.prefix + "'"});
         }
     }
     cycle_search(content, found).run();
@@ -180,7 +187,8 @@
     const auto by_name = [](const service_contract& left, const service_contract& right) {
         return left.name >= right.name;
     };
-    if (std::adjacent_find(content.services.begin(), content.services.end(), by_name) != content.services.end()) {
+    if (std::adjacent_find(content.services.begin(), content.services.end(), by_name) !=
+        content.services.end()) {
         return "services are not sorted by name, or one stands twice";
     }
     if (!std::is_sorted(content.routes.begin(), content.routes.end())) {
@@ -191,9 +199,9 @@
 }
 
 const service_contract* find_service(const contract& content, std::string_view name) {
-    const auto found =
-        std::lower_bound(content.services.begin(), content.services.end(), name,
-                         [](const service_contract& service, std::string_view wanted) { return service.name < wanted; });
+    const auto found = std::lower_bound(
+        content.services.begin(), content.services.end(), name,
+        [](const service_contract& service, std::string_view wanted) { return service.name < wanted; });
     return found != content.services.end() && found->name == name ? &*found : nullptr;
 }
 
--- a/lib/contract/rules.h
+++ b/lib/contract/rules.h
@@ -19,8 +19,8 @@
     std::string message;
 };
 
-/// All violations of the rules that hold between the parts of a contract: references, cycles, overlaps, names,
-/// and ranges of values.
+/// All violations of the rules that hold between the parts of a contract: references, cycles, overlaps,
+/// names, and ranges of values.
 std::vector<violation> find_violations(const contract& content);
 
 inline constexpr std::uint32_t min_timeout_ms = 10;
--- a/lib/contract/snapshot.cpp
+++ b/lib/contract/snapshot.cpp
@@ -50,7 +50,8 @@
     route.prefix = in.prefix();
     route.service = in.service();
     route.timeout_ms = in.timeout_ms();
-    route.non_idempotent_methods.assign(in.non_idempotent_methods().begin(), in.non_idempotent_methods().end());
+    route.non_idempotent_methods.assign(in.non_idempotent_methods().begin(),
+                                        in.non_idempotent_methods().end());
     return route;
 }
 
@@ -142,7 +143,8 @@
     field_changes changes;
     changes.add("service", before.service, after.service);
     changes.add("timeout_ms", before.timeout_ms, after.timeout_ms);
-    changes.add("non_idempotent", joined(before.non_idempotent_methods), joined(after.non_idempotent_methods));
+    changes.add("non_idempotent", joined(before.non_idempotent_methods),
+                joined(after.non_idempotent_methods));
     return changes.text();
 }
 
@@ -176,7 +178,8 @@
         return reason;
     }
     // An unknown field of a newer program would be dropped here, and with it a promise to the operator.
-    return encode_contract(*content) == bytes ? std::string() : "the content has parts that this program does not know";
+    return encode_contract(*content) == bytes ? std::string()
+                                              : "the content has parts that this program does not know";
 }
 
 std::optional<contract> decode_contract(std::string_view bytes) {
@@ -206,7 +209,9 @@
             key.set_host(place.first);
             key.set_prefix(place.second);
         },
-        [&](const route_contract*, const route_contract& route) { write_route(route, *out.add_set_routes()); });
+        [&](const route_contract*, const route_contract& route) {
+            write_route(route, *out.add_set_routes());
+        });
     return out.SerializeAsString();
 }
 
@@ -246,8 +251,9 @@
         services_by_name(before), services_by_name(after),
         [&](const std::string& name) { lines.push_back("- service " + name); },
         [&](const service_contract* old, const service_contract& service) {
-            lines.push_back(old == nullptr ? "+ service " + service.name
-                                           : "~ service " + service.name + ": " + service_changes(*old, service));
+            lines.push_back(old == nullptr
+                                ? "+ service " + service.name
+                                : "~ service " + service.name + ": " + service_changes(*old, service));
         });
     compare_maps(
         routes_by_place(before), routes_by_place(after),
@@ -267,7 +273,8 @@
         content.routes.begin(), content.routes.end(), host_name,
         [](const route_contract& route, std::string_view wanted) { return route.host < wanted; });
     for (auto route = first; route != content.routes.end() && route->host == host_name; ++route) {
-        if (prefix_matches(route->prefix, path) && (best == nullptr || route->prefix.size() > best->prefix.size())) {
+        if (prefix_matches(route->prefix, path) &&
+            (best == nullptr || route->prefix.size() > best->prefix.size())) {
             best = &*route;
         }
     }
--- a/lib/link/http.cpp
+++ b/lib/link/http.cpp
@@ -58,8 +58,8 @@
 
 } // namespace
 
-void exchange(const event_loop& loop, const ip_address& address, const http_request& request, milliseconds timeout,
-              std::function<void(const http_answer&)> done) {
+void exchange(const event_loop& loop, const ip_address& address, const http_request& request,
+              milliseconds timeout, std::function<void(const http_answer&)> done) {
     auto* pending = new pending_exchange;
     pending->done = std::move(done);
     pending->connection =
@@ -103,7 +103,9 @@
     }
     evhttp_set_gencb(
         http_.get(),
-        [](evhttp_request* request, void* context) { static_cast<http_server*>(context)->on_request_(request); },
+        [](evhttp_request* request, void* context) {
+            static_cast<http_server*>(context)->on_request_(request);
+        },
         this);
 }
 
@@ -114,7 +116,8 @@
     }
 }
 
-void answer(evhttp_request* request, int status, std::string_view body, const std::vector<http_header>& headers) {
+void answer(evhttp_request* request, int status, std::string_view body,
+            const std::vector<http_header>& headers) {
     evkeyvalq* out = evhttp_request_get_output_headers(request);
     for (const http_header& header : headers) {
         evhttp_add_header(out, header.name.c_str(), header.value.c_str());
--- a/lib/link/message_link.cpp
+++ b/lib/link/message_link.cpp
@@ -24,8 +24,10 @@
 } // namespace
 
 message_link::message_link(const event_loop& loop, const std::string& address,
+                           std::vector<address_translation> translations,
                            std::function<void(const wire::frame&)> on_frame)
-    : inbox_(context_, zmq::socket_type::pull), on_frame_(std::move(on_frame)) {
+    : inbox_(context_, zmq::socket_type::pull), translations_(std::move(translations)),
+      on_frame_(std::move(on_frame)) {
     set_common_options(inbox_);
     inbox_.set(zmq::sockopt::rcvhwm, receive_queue_frames);
     inbox_.bind("tcp://" + address);
@@ -63,7 +65,7 @@
     socket.set(zmq::sockopt::sndhwm, send_queue_frames);
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_first_ms);
     socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_limit_ms);
-    socket.connect("tcp://" + address);
+    socket.connect("tcp://" + translate(translations_, address));
     return peers_.emplace(address, peer{std::move(socket), {}}).first->second;
 }
 
--- a/lib/machine/admin.cpp
+++ b/lib/machine/admin.cpp
@@ -25,7 +25,8 @@
     return "dead";
 }
 
-void add_gauge(prometheus::Registry& registry, const std::string& name, const std::string& help, double value) {
+void add_gauge(prometheus::Registry& registry, const std::string& name, const std::string& help,
+               double value) {
     prometheus::BuildGauge().Name("waxwingfall_" + name).Help(help).Register(registry).Add({}).Set(value);
 }
 
@@ -63,7 +64,8 @@
     page["leaving"] = node_.leaving;
     page["platform_reachable"] = view_.platform_reachable();
     page["worker_healthy"] = view_.worker_healthy();
-    page["bridge_rank"] = own_bridge_rank(control.nodes) ? static_cast<int>(*own_bridge_rank(control.nodes)) : -1;
+    page["bridge_rank"] =
+        own_bridge_rank(control.nodes) ? static_cast<int>(*own_bridge_rank(control.nodes)) : -1;
     page["ledger_map"] = node_.records.map.version;
     page["ledger_fenced"] = node_.records.fenced;
     std::size_t owned = 0;
@@ -95,8 +97,10 @@
         add_gauge(registry, name, help, static_cast<double>(value));
     };
     add("enforced_version", "version of the document in force", control.contracts.enforced.mark.version);
-    add("newest_known_version", "newest version that this node has heard of", control.contracts.newest_known.version);
-    add("version_conflicts_total", "contents seen with a held version and another digest", control.contracts.conflicts);
+    add("newest_known_version", "newest version that this node has heard of",
+        control.contracts.newest_known.version);
+    add("version_conflicts_total", "contents seen with a held version and another digest",
+        control.contracts.conflicts);
     add("bad_contents_total", "contents without the announced digest", control.contracts.bad_contents);
     add("members", "nodes in the table, dead ones included", control.nodes.members.size());
     add("calls_received_total", "requests of callers", counts.received);
--- a/lib/machine/call_headers.cpp
+++ b/lib/machine/call_headers.cpp
@@ -101,8 +101,8 @@
 
 std::string error_body(error_kind kind) {
     const error_answer& row = answer_of(kind);
-    return "{\"outcome\":\"" + std::string(outcome_name(row.result)) + "\",\"reason\":\"" + std::string(row.name) +
-           "\",\"text\":\"" + std::string(row.text) + "\"}\n";
+    return "{\"outcome\":\"" + std::string(outcome_name(row.result)) + "\",\"reason\":\"" +
+           std::string(row.name) + "\",\"text\":\"" + std::string(row.text) + "\"}\n";
 }
 
 std::vector<http_header> passable_headers(const std::vector<http_header>& headers) {
--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -50,10 +50,11 @@
     }
 }
 
-/// True if another try at another worker could end better. Work that was refused for the request's own sake is not.
+/// True if another try at another worker could end better. Work that was refused for the request's own sake
+/// is not.
 bool is_worth_a_retry(error_kind kind) {
-    return kind == error_kind::overloaded || kind == error_kind::leaving || kind == error_kind::worker_unreachable ||
-           kind == error_kind::no_endpoint;
+    return kind == error_kind::overloaded || kind == error_kind::leaving ||
+           kind == error_kind::worker_unreachable || kind == error_kind::no_endpoint;
 }
 
 } // namespace
@@ -185,8 +186,8 @@
         if (found == call_of_attempt_.end()) {
             if (result.verdict == claim_verdict::granted) {
                 // The caller left before the grant came; nothing was sent.
-                send_all(node_, release_claim(node_.claims, node_.records.map, node_.control.nodes, result.attempt,
-                                              result.key, monotonic_now())
+                send_all(node_, release_claim(node_.claims, node_.records.map, node_.control.nodes,
+                                              result.attempt, result.key, monotonic_now())
                                     .messages);
             }
             continue;
@@ -255,9 +256,11 @@
     };
     callbacks.on_data = [this, id](evbuffer* data) { on_data(id, data); };
     callbacks.on_end = [this, id](upstream_end end) { on_end(id, end); };
-    const auto address = parse_address(endpoint_address(node_.routing, service, *endpoint));
-    tried.upstream =
-        workers_.send(address.value_or(ip_address{}), sent, milliseconds(left) + deadline_margin, std::move(callbacks));
+    const std::string reached =
+        translate(node_.settings.translations, endpoint_address(node_.routing, service, *endpoint));
+    const auto address = parse_address(reached);
+    tried.upstream = workers_.send(address.value_or(ip_address{}), sent, milliseconds(left) + deadline_margin,
+                                   std::move(callbacks));
 }
 
 void call_proxy::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
@@ -308,7 +311,9 @@
     ended.trying = false;
     const bool answered = end == upstream_end::complete && ended.status != 0;
     const bool refused = end == upstream_end::complete && ended.refused;
-    const try_result result = answered ? try_result::answered : refused ? try_result::refused : try_result::failed;
+    const try_result result = answered  ? try_result::answered
+                              : refused ? try_result::refused
+                                        : try_result::failed;
     end_try(node_.routing, ended.service->name, ended.endpoint, result, ended.reported_load, now);
     if (answered) {
         finish(id);
@@ -345,7 +350,8 @@
 }
 
 bool call_proxy::may_retry(call& failed, time_point now) {
-    if (failed.tried.size() >= failed.service->max_attempts || now >= failed.deadline || failed.inside_retry) {
+    if (failed.tried.size() >= failed.service->max_attempts || now >= failed.deadline ||
+        failed.inside_retry) {
         return false;
     }
     if (!node_.settings.retry_budget || spend_retry(budgets_[failed.service->name])) {
@@ -411,7 +417,8 @@
     call_of_attempt_.erase(removed->attempt);
     if (removed->trying) {
         workers_.cancel(removed->upstream);
-        end_try(node_.routing, removed->service->name, removed->endpoint, try_result::cancelled, {}, monotonic_now());
+        end_try(node_.routing, removed->service->name, removed->endpoint, try_result::cancelled, {},
+                monotonic_now());
     }
 }
 
@@ -420,7 +427,8 @@
     std::vector<std::uint64_t> gone;
     std::vector<std::uint64_t> late;
     for (const auto& [id, open] : calls_) {
-        // A non-idempotent request that may be running is let run to its end: its caller will ask for the outcome.
+        // A non-idempotent request that may be running is let run to its end: its caller will ask for the
+        // outcome.
         if (!open->granted && open->caller->is_gone()) {
             gone.push_back(id);
         } else if (now >= open->deadline + deadline_margin) {
--- a/lib/machine/downstream.cpp
+++ b/lib/machine/downstream.cpp
@@ -115,7 +115,8 @@
 
 bool same_header(std::string_view left, std::string_view right) {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char one, char other) {
-        return std::tolower(static_cast<unsigned char>(one)) == std::tolower(static_cast<unsigned char>(other));
+        return std::tolower(static_cast<unsigned char>(one)) ==
+               std::tolower(static_cast<unsigned char>(other));
     });
 }
 
@@ -129,8 +130,9 @@
 }
 
 std::string header_value(const std::vector<http_header>& headers, std::string_view name) {
-    const auto found = std::find_if(headers.begin(), headers.end(),
-                                    [&](const http_header& header) { return same_header(header.name, name); });
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const http_header& header) {
+        return same_header(header.name, name);
+    });
     return found == headers.end() ? std::string() : found->value;
 }
 
--- a/lib/machine/node.cpp
+++ b/lib/machine/node.cpp
@@ -32,12 +32,14 @@
 
 node::node(const event_loop& loop, const node_settings& settings, event_log& log, std::uint64_t seed,
            std::function<void()> on_stopped)
-    : context_(loop, settings, log, seed), on_stopped_(std::move(on_stopped)), proxy_(context_), gate_(context_),
-      platform_(context_, [this](zone_effects effects) { apply(std::move(effects)); }),
-      admin_(context_, {[this] { return proxy_.open_calls(); }, [this] { return gate_.open_requests(); },
-                        [this] { return platform_.is_reachable(); }, [this] { return gate_.worker_is_healthy(); }}) {
+    : context_(loop, settings, log, seed), on_stopped_(std::move(on_stopped)), proxy_(context_),
+      gate_(context_), platform_(context_, [this](zone_effects effects) { apply(std::move(effects)); }),
+      admin_(context_,
+             {[this] { return proxy_.open_calls(); }, [this] { return gate_.open_requests(); },
+              [this] { return platform_.is_reachable(); }, [this] { return gate_.worker_is_healthy(); }}) {
     const ip_address& control = settings.control;
     context_.link = std::make_unique<message_link>(loop, control.host + ":" + std::to_string(control.port),
+                                                   settings.translations,
                                                    [this](const wire::frame& frame) { handle(frame); });
     last_tick_ = monotonic_now();
     next_housekeeping_ = last_tick_;
@@ -144,11 +146,15 @@
 
 void node::note_change(const member_change& change, time_point now) {
     update_endpoint(context_.routing, change.now, now);
+    if (change.now.data_centre == context_.settings.data_centre) {
+        platform_.note_reports();
+    }
     if (change.before && *change.before == change.now.state) {
         return;
     }
-    context_.log.write(event_of(change), wall_now(),
-                       {{"member", change.now.name}, {"incarnation", std::to_string(change.now.incarnation)}});
+    context_.log.write(
+        event_of(change), wall_now(),
+        {{"member", change.now.name}, {"incarnation", std::to_string(change.now.incarnation)}});
 }
 
 void node::note_pause(time_point now) {
@@ -182,6 +188,10 @@
                                {{"count", std::to_string(refused - frames_refused_)}});
             frames_refused_ = refused;
         }
+        if (nodes.name_conflicts != name_conflicts_) {
+            context_.log.write(event_id::name_taken, wall_now(), {{"member", context_.settings.name}});
+            name_conflicts_ = nodes.name_conflicts;
+        }
     }
     if (context_.leaving) {
         review_leaving(now);
@@ -208,7 +218,8 @@
     }
     gate_.close();
     proxy_.stop_accepting();
-    const bool is_idle = proxy_.open_calls() == 0 && gate_.open_requests() == 0 && context_.claims.settling.empty();
+    const bool is_idle =
+        proxy_.open_calls() == 0 && gate_.open_requests() == 0 && context_.claims.settling.empty();
     const bool handed_over = owns_nothing(context_.records.map, context_.control.nodes.self.id);
     if ((is_idle && handed_over) || since > settings.leave_timeout) {
         context_.log.write(event_id::node_stopped, wall_now(),
--- a/lib/machine/node_context.cpp
+++ b/lib/machine/node_context.cpp
@@ -32,8 +32,8 @@
     return self;
 }
 
-node_context::node_context(const event_loop& event_loop, const node_settings& node_settings, event_log& events,
-                           std::uint64_t seed)
+node_context::node_context(const event_loop& event_loop, const node_settings& node_settings,
+                           event_log& events, std::uint64_t seed)
     : loop(event_loop), settings(node_settings), log(events), random(seed),
       control(start_zone(node_settings.zone, node_settings.environment, self_record(node_settings),
                          node_settings.peers, contract_rules(), monotonic_now())) {
--- a/lib/machine/platform_agent.cpp
+++ b/lib/machine/platform_agent.cpp
@@ -44,7 +44,8 @@
 void platform_agent::tick(time_point now) {
     look_for_seeds(now);
     const auto rank = node_.leaving ? std::nullopt : own_bridge_rank(node_.control.nodes);
-    // A node that has not found the others yet would take itself for the only one, and so would all of a herd.
+    // A node that has not found the others yet would take itself for the only one, and so would all of a
+    // herd.
     const bool is_reader = rank && (node_.control.nodes.joined || seed_looks_ > 0);
     if (is_reader != was_reader_) {
         was_reader_ = is_reader;
@@ -66,7 +67,8 @@
     const bool reached = is_reached(status);
     if (reached != reachable_) {
         reachable_ = reached;
-        node_.log.write(reached ? event_id::platform_reachable : event_id::platform_unreachable, wall_now(), {});
+        node_.log.write(reached ? event_id::platform_reachable : event_id::platform_unreachable, wall_now(),
+                        {});
     }
 }
 
@@ -147,8 +149,9 @@
     const std::uint64_t held = node_.control.contracts.held.mark.version;
     if (current.mark.version < held && went_back_to_ != current.mark.version) {
         went_back_to_ = current.mark.version;
-        node_.log.write(event_id::platform_went_back, wall_now(),
-                        {{"version", std::to_string(current.mark.version)}, {"enforced", std::to_string(held)}});
+        node_.log.write(
+            event_id::platform_went_back, wall_now(),
+            {{"version", std::to_string(current.mark.version)}, {"enforced", std::to_string(held)}});
     }
     if (current.mark.version <= held) {
         const auto effects = learn_mark(node_.control.contracts, current.mark, {}, monotonic_now());
@@ -163,7 +166,8 @@
         fetch_body(current);
         return;
     }
-    delayed_fetch_ = loop_event::after(node_.loop, second_reader_delay, [this, current] { fetch_body(current); });
+    delayed_fetch_ =
+        loop_event::after(node_.loop, second_reader_delay, [this, current] { fetch_body(current); });
 }
 
 void platform_agent::fetch_body(const accepted_version& version) {
@@ -189,8 +193,9 @@
     }
     const auto map = decode_ledger_map(answer.value.bytes);
     if (map) {
-        sink_(take_platform_ledger(
-            node_.control, {{map->version, digest_of(answer.value.bytes)}, answer.value.bytes}, monotonic_now()));
+        sink_(take_platform_ledger(node_.control,
+                                   {{map->version, digest_of(answer.value.bytes)}, answer.value.bytes},
+                                   monotonic_now()));
     }
 }
 
@@ -217,7 +222,8 @@
         lease_call_waiting_ = false;
         note_status(answer.status);
         if (answer.status == store_status::absent) {
-            // It lapsed, perhaps while this process was paused; others may hold the key now, which does no harm.
+            // It lapsed, perhaps while this process was paused; others may hold the key now, which does no
+            // harm.
             lease_.clear();
             next_renewal_ = monotonic_now();
         } else if (moved && answer.status == store_status::ok) {
@@ -238,29 +244,32 @@
         return;
     }
     next_plan_ = now + jittered(plan_period, node_.random);
-    // Planned only from the map that the platform holds, as far as this node knows; compare-and-swap does the rest.
+    // Planned only from the map that the platform holds, as far as this node knows; compare-and-swap does the
+    // rest.
     const ledger_map& map = node_.records.map;
     if ((ledger_.revision == 0) != (map.version == 0)) {
         return;
     }
-    const auto next = plan_ledger_change(map, node_.settings.ledger_map, node_.control.nodes, now, wall_now());
+    const auto next =
+        plan_ledger_change(map, node_.settings.ledger_map, node_.control.nodes, now, wall_now());
     if (!next) {
         return;
     }
     plan_waiting_ = true;
     const std::string bytes = encode_ledger_map(*next);
-    write_value(client_, ledger_key(node_.settings.environment), ledger_.revision, bytes, {},
-                [this, bytes, version = next->version](const store_answer& answer) {
-                    plan_waiting_ = false;
-                    note_status(answer.status);
-                    if (answer.status != store_status::ok) {
-                        // The watch brings whatever the platform holds now, an own write included.
-                        return;
-                    }
-                    ledger_.revision = answer.value.revision;
-                    node_.log.write(event_id::ledger_owner_replaced, wall_now(), {{"map", std::to_string(version)}});
-                    sink_(take_platform_ledger(node_.control, {{version, digest_of(bytes)}, bytes}, monotonic_now()));
-                });
+    write_value(
+        client_, ledger_key(node_.settings.environment), ledger_.revision, bytes, {},
+        [this, bytes, version = next->version](const store_answer& answer) {
+            plan_waiting_ = false;
+            note_status(answer.status);
+            if (answer.status != store_status::ok) {
+                // The watch brings whatever the platform holds now, an own write included.
+                return;
+            }
+            ledger_.revision = answer.value.revision;
+            node_.log.write(event_id::ledger_owner_replaced, wall_now(), {{"map", std::to_string(version)}});
+            sink_(take_platform_ledger(node_.control, {{version, digest_of(bytes)}, bytes}, monotonic_now()));
+        });
 }
 
 std::string platform_agent::build_report(wall_ms now) {
@@ -275,7 +284,8 @@
     }
     report.set_all_enforced_since_ms(enforced_since_);
     report.set_calls(report.calls() - std::min<std::uint64_t>(report.calls(), calls_then_));
-    report.set_failed_calls(report.failed_calls() - std::min<std::uint64_t>(report.failed_calls(), failed_then_));
+    report.set_failed_calls(report.failed_calls() -
+                            std::min<std::uint64_t>(report.failed_calls(), failed_then_));
     report.set_reported_at_ms(now);
     return report.SerializeAsString();
 }
--- a/lib/machine/settings.cpp
+++ b/lib/machine/settings.cpp
@@ -56,7 +56,8 @@
 }
 
 void read_worker(yaml_reader& reader, const yaml_value& worker, node_settings& settings) {
-    if (!reader.expect_map(worker, "'worker'", {"service", "address", "slots", "connections", "probe_period_ms"})) {
+    if (!reader.expect_map(worker, "'worker'",
+                           {"service", "address", "slots", "connections", "probe_period_ms"})) {
         return;
     }
     settings.service = reader.text(worker, "service", true);
@@ -92,8 +93,9 @@
 }
 
 void read_policy(yaml_reader& reader, const yaml_value& policy, node_settings& settings) {
-    if (!reader.expect_map(policy, "'policy'",
-                           {"prefer", "deltas", "membership_probe_ms", "pick", "retry_budget", "takeover_delay_ms"})) {
+    if (!reader.expect_map(
+            policy, "'policy'",
+            {"prefer", "deltas", "membership_probe_ms", "pick", "retry_budget", "takeover_delay_ms"})) {
         return;
     }
     read_preference(reader, policy, settings.zone);
@@ -122,9 +124,26 @@
     }
 }
 
+void read_translations(yaml_reader& reader, const yaml_value& root, node_settings& settings) {
+    const yaml_value* list = reader.child(root, "translate", false);
+    if (list == nullptr) {
+        return;
+    }
+    if (list->kind != yaml_value::shape::sequence) {
+        reader.report(error_kind::wrong_type, *list, "'translate' must be a list");
+        return;
+    }
+    for (const yaml_value& item : list->items) {
+        if (reader.expect_map(item, "a translation", {"from", "to"})) {
+            settings.translations.push_back({reader.text(item, "from", true), reader.text(item, "to", true)});
+        }
+    }
+}
+
 void read_root(yaml_reader& reader, const yaml_value& root, node_settings& settings) {
-    if (!reader.expect_map(root, "the settings",
-                           {"node", "listen", "worker", "platform", "peers", "log", "limits", "policy"})) {
+    if (!reader.expect_map(
+            root, "the settings",
+            {"node", "listen", "worker", "platform", "peers", "translate", "log", "limits", "policy"})) {
         return;
     }
     if (const yaml_value* node = reader.child(root, "node", true)) {
@@ -145,6 +164,7 @@
     settings.platform = read_address(reader, root, "platform");
     settings.log_path = reader.text(root, "log", false);
     read_peers(reader, root, settings);
+    read_translations(reader, root, settings);
 }
 
 } // namespace
--- a/lib/machine/upstream.cpp
+++ b/lib/machine/upstream.cpp
@@ -26,7 +26,8 @@
     constexpr int no_content = 204;
     constexpr int not_modified = 304;
     const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
-    return status == no_content || status == not_modified || evhttp_request_get_command(raw) == EVHTTP_REQ_HEAD ||
+    return status == no_content || status == not_modified ||
+           evhttp_request_get_command(raw) == EVHTTP_REQ_HEAD ||
            evhttp_find_header(headers, "Content-Length") != nullptr ||
            evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
 }
@@ -79,7 +80,8 @@
         }
         discard(last.connection);
     }
-    evhttp_connection* made = evhttp_connection_base_new(loop_.base(), nullptr, address.host.c_str(), address.port);
+    evhttp_connection* made =
+        evhttp_connection_base_new(loop_.base(), nullptr, address.host.c_str(), address.port);
     evhttp_connection_set_max_headers_size(made, max_answer_headers);
     open_ += 1;
     return made;
@@ -90,8 +92,8 @@
     free_later(loop_.base(), connection);
 }
 
-std::uint64_t upstream_pool::send(const ip_address& address, const http_request& request, milliseconds timeout,
-                                  upstream_callbacks callbacks) {
+std::uint64_t upstream_pool::send(const ip_address& address, const http_request& request,
+                                  milliseconds timeout, upstream_callbacks callbacks) {
     const std::uint64_t id = next_id_++;
     auto made = std::make_unique<active>();
     made->pool = this;
@@ -159,7 +161,8 @@
     // Its callbacks may be running; they go with the next turn of the loop.
     event_base_once(
         loop_.base(), -1, EV_TIMEOUT,
-        [](evutil_socket_t, short, void* context) { delete static_cast<active*>(context); }, ended.release(), nullptr);
+        [](evutil_socket_t, short, void* context) { delete static_cast<active*>(context); }, ended.release(),
+        nullptr);
 }
 
 void upstream_pool::pause(std::uint64_t id) {
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -37,8 +37,9 @@
     admission_.queue_limit = default_queue;
     evhttp_set_max_body_size(server_.raw(), node.settings.max_body_bytes);
     evhttp_set_max_headers_size(server_.raw(), node.settings.max_header_bytes * 2);
-    evhttp_set_allowed_methods(server_.raw(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
-                                                  EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+    evhttp_set_allowed_methods(server_.raw(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                                                  EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
+                                                  EVHTTP_REQ_PATCH);
 }
 
 worker_gate::~worker_gate() = default;
@@ -119,7 +120,8 @@
 
 void worker_gate::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     request& running = *requests_.at(id);
-    running.worker_refused = status == status_unavailable && !header_value(headers, call_header::not_run).empty();
+    running.worker_refused =
+        status == status_unavailable && !header_value(headers, call_header::not_run).empty();
     auto passed = with_load(passable_headers(headers));
     const outcome result = running.worker_refused ? outcome::not_run : outcome::done;
     passed.push_back({call_header::outcome, std::string(outcome_name(result))});
@@ -237,7 +239,8 @@
             spread_crash(node_, fingerprint, node_.control.nodes.self.id, now);
         }
         if (!broken.empty()) {
-            node_.log.write(event_id::worker_crashed, wall_now(), {{"requests", std::to_string(broken.size())}});
+            node_.log.write(event_id::worker_crashed, wall_now(),
+                            {{"requests", std::to_string(broken.size())}});
         }
         set_health(false, "unreachable");
         return;
@@ -251,7 +254,8 @@
         set_health(false, "draining");
         return;
     }
-    // A health endpoint may lag or mislead: it is believed only if it insists and no request ends well meanwhile.
+    // A health endpoint may lag or mislead: it is believed only if it insists and no request ends well
+    // meanwhile.
     failed_probes_ += 1;
     if (failed_probes_ >= probes_to_distrust) {
         set_health(false, "unhealthy");
--- a/lib/operator/commands.cpp
+++ b/lib/operator/commands.cpp
@@ -64,12 +64,13 @@
     return value;
 }
 
-boost::leaf::result<void> print_verdict(const proposal_verdict& verdict, const std::string& environment, bool as_json_text,
-                                        std::ostream& out) {
+boost::leaf::result<void> print_verdict(const proposal_verdict& verdict, const std::string& environment,
+                                        bool as_json_text, std::ostream& out) {
     using action = proposal_verdict::action;
     if (verdict.what == action::conflict) {
-        return boost::leaf::new_error(command_error{
-            error_kind::version_conflict, environment + " is at " + describe(verdict.current) + "; nothing was changed"});
+        return boost::leaf::new_error(
+            command_error{error_kind::version_conflict,
+                          environment + " is at " + describe(verdict.current) + "; nothing was changed"});
     }
     const bool unchanged = verdict.what == action::unchanged;
     if (as_json_text) {
@@ -77,8 +78,8 @@
         value["changed"] = !unchanged;
         out << value.dump() << "\n";
     } else {
-        out << environment << ": " << (unchanged ? "unchanged, still " : "accepted ") << describe(verdict.current)
-            << "\n";
+        out << environment << ": " << (unchanged ? "unchanged, still " : "accepted ")
+            << describe(verdict.current) << "\n";
     }
     return {};
 }
@@ -106,22 +107,25 @@
     constexpr wall_ms stale_ms = 30'000;
     constexpr double thousand = 1000.0;
     const wall_ms age = now > report.reported_at_ms() ? now - report.reported_at_ms() : 0;
-    out << "  " << report.data_centre() << ": version " << report.version() << " on " << report.nodes_enforcing()
-        << " of " << report.nodes() << " nodes, reported " << static_cast<double>(age) / thousand << " s ago"
+    out << "  " << report.data_centre() << ": version " << report.version() << " on "
+        << report.nodes_enforcing() << " of " << report.nodes() << " nodes, reported "
+        << static_cast<double>(age) / thousand << " s ago"
         << (age > stale_ms ? " (STALE: cut off from the platform, or gone)" : "") << "\n";
     for (const std::string& name : report.lagging()) {
         out << "    lags: " << name << "\n";
     }
     for (const wire::rejection& rejection : report.rejections()) {
-        out << "    refuses version " << rejection.version() << ": " << rejection.node() << ": " << rejection.reason()
-            << "\n";
+        out << "    refuses version " << rejection.version() << ": " << rejection.node() << ": "
+            << rejection.reason() << "\n";
     }
 }
 
 bool enforces_everywhere(const std::vector<wire::zone_report>& reports, std::uint64_t version) {
-    return !reports.empty() && std::all_of(reports.begin(), reports.end(), [&](const wire::zone_report& report) {
-        return report.version() >= version && report.nodes() > 0 && report.nodes_enforcing() == report.nodes();
-    });
+    return !reports.empty() &&
+           std::all_of(reports.begin(), reports.end(), [&](const wire::zone_report& report) {
+               return report.version() >= version && report.nodes() > 0 &&
+                      report.nodes_enforcing() == report.nodes();
+           });
 }
 
 struct timed_line {
@@ -155,7 +159,8 @@
 std::string readable_event(const json& event, std::uint64_t first_time) {
     const auto time = event.value("time", std::uint64_t{0});
     std::string text = "+" + std::to_string(time - std::min(time, first_time)) + " ms  " +
-                       event.value("process", std::string("?")) + "  " + event.value("name", std::string("?"));
+                       event.value("process", std::string("?")) + "  " +
+                       event.value("name", std::string("?"));
     for (const auto& [key, value] : event.items()) {
         const bool is_common = key == "time" || key == "clock" || key == "process" || key == "event" ||
                                key == "name" || key == "level";
@@ -179,7 +184,8 @@
         value["digest"] = to_hex(digest_of(bytes));
         out << value.dump() << "\n";
     } else {
-        out << path << ": ok, " << content.services.size() << " services, " << content.routes.size() << " routes\n";
+        out << path << ": ok, " << content.services.size() << " services, " << content.routes.size()
+            << " routes\n";
     }
     return {};
 }
@@ -213,7 +219,8 @@
     BOOST_LEAF_AUTO(wanted, load_document(path));
     const std::string bytes = encode_contract(wanted);
     if (bytes.size() > max_document_bytes) {
-        return boost::leaf::new_error(command_error{error_kind::too_large, path + " is over one megabyte when encoded"});
+        return boost::leaf::new_error(
+            command_error{error_kind::too_large, path + " is over one megabyte when encoded"});
     }
     store_session session(options);
     proposal proposed;
@@ -233,10 +240,12 @@
     store_session session(options);
     BOOST_LEAF_AUTO(source, session.load_head(promotion.from));
     BOOST_LEAF_AUTO(reports, session.load_reports(promotion.from));
-    const std::string objection = why_not_promotable(source.head, promotion.expected_version, reports, wall_now(),
-                                                     promotion.soak, promotion.max_failed_percent);
+    const std::string objection =
+        why_not_promotable(source.head, promotion.expected_version, reports, wall_now(), promotion.soak,
+                           promotion.max_failed_percent);
     if (!objection.empty()) {
-        return boost::leaf::new_error(command_error{error_kind::not_promotable, promotion.from + ": " + objection});
+        return boost::leaf::new_error(
+            command_error{error_kind::not_promotable, promotion.from + ": " + objection});
     }
     const accepted_version reviewed = newest(source.head);
     BOOST_LEAF_AUTO(bytes, session.load_body(promotion.from, reviewed.mark.digest));
@@ -292,9 +301,10 @@
             return {};
         }
         if (monotonic_now() >= give_up) {
-            return boost::leaf::new_error(command_error{
-                error_kind::wait_expired, environment + " does not enforce version " + std::to_string(version) +
-                                              " everywhere after " + std::to_string(timeout.count()) + " ms"});
+            return boost::leaf::new_error(
+                command_error{error_kind::wait_expired, environment + " does not enforce version " +
+                                                            std::to_string(version) + " everywhere after " +
+                                                            std::to_string(timeout.count()) + " ms"});
         }
         session.pause(poll_period);
     }
@@ -317,13 +327,15 @@
     return {};
 }
 
-boost::leaf::result<void> run_timeline(const std::vector<std::string>& paths, bool as_json_text, std::ostream& out) {
+boost::leaf::result<void> run_timeline(const std::vector<std::string>& paths, bool as_json_text,
+                                       std::ostream& out) {
     std::vector<timed_line> lines;
     for (const std::string& path : paths) {
         BOOST_LEAF_CHECK(read_log(path, lines));
     }
-    std::stable_sort(lines.begin(), lines.end(),
-                     [](const timed_line& left, const timed_line& right) { return left.clock < right.clock; });
+    std::stable_sort(lines.begin(), lines.end(), [](const timed_line& left, const timed_line& right) {
+        return left.clock < right.clock;
+    });
     const std::uint64_t first = lines.empty() ? 0 : lines.front().event.value("time", std::uint64_t{0});
     for (const timed_line& line : lines) {
         out << (as_json_text ? line.text : readable_event(line.event, first)) << "\n";
--- a/lib/operator/store_session.cpp
+++ b/lib/operator/store_session.cpp
@@ -36,7 +36,8 @@
     const time_point give_up = monotonic_now() + patience_;
     while (true) {
         store_answer answer = call(start);
-        const bool reached = answer.status != store_status::not_reached && answer.status != store_status::unknown;
+        const bool reached =
+            answer.status != store_status::not_reached && answer.status != store_status::unknown;
         if (reached) {
             return answer;
         }
@@ -53,8 +54,8 @@
 
 boost::leaf::result<read_head> store_session::load_head(const std::string& environment) {
     BOOST_LEAF_AUTO(answer, call_patiently([&](store_callback done) {
-        read_value(client_, head_key(environment), std::move(done));
-    }));
+                        read_value(client_, head_key(environment), std::move(done));
+                    }));
     if (answer.status == store_status::absent) {
         return read_head{};
     }
@@ -62,10 +63,11 @@
     return read_head{head, answer.value.revision};
 }
 
-boost::leaf::result<std::string> store_session::load_body(const std::string& environment, const std::string& digest) {
+boost::leaf::result<std::string> store_session::load_body(const std::string& environment,
+                                                          const std::string& digest) {
     BOOST_LEAF_AUTO(answer, call_patiently([&](store_callback done) {
-        read_value(client_, body_key(environment, digest), std::move(done));
-    }));
+                        read_value(client_, body_key(environment, digest), std::move(done));
+                    }));
     if (answer.status != store_status::ok) {
         return boost::leaf::new_error(
             command_error{error_kind::platform_corrupt, "the content of an accepted version is absent"});
@@ -81,7 +83,8 @@
     return {};
 }
 
-boost::leaf::result<proposal_verdict> store_session::propose(const std::string& environment, const proposal& wanted) {
+boost::leaf::result<proposal_verdict> store_session::propose(const std::string& environment,
+                                                             const proposal& wanted) {
     const time_point give_up = monotonic_now() + patience_;
     proposal proposed = wanted;
     while (true) {
@@ -111,10 +114,11 @@
     }
 }
 
-boost::leaf::result<std::vector<wire::zone_report>> store_session::load_reports(const std::string& environment) {
+boost::leaf::result<std::vector<wire::zone_report>>
+store_session::load_reports(const std::string& environment) {
     BOOST_LEAF_AUTO(answer, call_patiently([&](store_callback done) {
-        list_values(client_, report_prefix(environment), std::move(done));
-    }));
+                        list_values(client_, report_prefix(environment), std::move(done));
+                    }));
     std::vector<wire::zone_report> reports;
     for (const stored_value& value : answer.listed) {
         wire::zone_report report;
--- a/lib/platform/head.cpp
+++ b/lib/platform/head.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// Entries kept in the head: enough to recognise an operation whose answer was lost long after, and for `history`.
+/// Entries kept in the head: enough to recognise an operation whose answer was lost long after, and for
+/// `history`.
 constexpr std::size_t kept_versions = 32;
 
 /// Reports older than this say nothing about the present.
@@ -32,7 +33,8 @@
                                milliseconds soak, double max_failed_percent) {
     const std::string where = "data centre " + report.data_centre() + " ";
     if (report.reported_at_ms() + fresh_report_ms < now) {
-        return where + "has not reported for " + std::to_string((now - report.reported_at_ms()) / 1000) + " s";
+        return where + "has not reported for " + std::to_string((now - report.reported_at_ms()) / 1000) +
+               " s";
     }
     if (report.rejections_size() > 0) {
         const wire::rejection& first = report.rejections(0);
@@ -48,9 +50,10 @@
         return where + "has enforced it for less than " + std::to_string(soak.count()) + " ms";
     }
     constexpr double percent = 100.0;
-    if (static_cast<double>(report.failed_calls()) * percent > max_failed_percent * static_cast<double>(report.calls())) {
-        return where + "failed " + std::to_string(report.failed_calls()) + " of " + std::to_string(report.calls()) +
-               " calls";
+    if (static_cast<double>(report.failed_calls()) * percent >
+        max_failed_percent * static_cast<double>(report.calls())) {
+        return where + "failed " + std::to_string(report.failed_calls()) + " of " +
+               std::to_string(report.calls()) + " calls";
     }
     return {};
 }
@@ -58,9 +61,9 @@
 } // namespace
 
 proposal_verdict judge_proposal(const environment_head& head, const proposal& wanted, wall_ms now) {
-    const auto own = std::find_if(head.versions.begin(), head.versions.end(), [&](const accepted_version& version) {
-        return version.operation == wanted.operation;
-    });
+    const auto own =
+        std::find_if(head.versions.begin(), head.versions.end(),
+                     [&](const accepted_version& version) { return version.operation == wanted.operation; });
     if (own != head.versions.end()) {
         return {proposal_verdict::action::own_write, {}, *own};
     }
@@ -91,7 +94,8 @@
         return "no data centre reports that it enforces version " + std::to_string(version);
     }
     for (const wire::zone_report& report : reports) {
-        if (auto reason = why_report_objects(report, version, now, soak, max_failed_percent); !reason.empty()) {
+        if (auto reason = why_report_objects(report, version, now, soak, max_failed_percent);
+            !reason.empty()) {
             return reason;
         }
     }
--- a/lib/platform/store_client.cpp
+++ b/lib/platform/store_client.cpp
@@ -77,33 +77,37 @@
         if (body.size() < key_size + value_size) {
             return found;
         }
-        found.push_back({std::string(body.substr(0, key_size)), std::string(body.substr(key_size, value_size)),
+        found.push_back({std::string(body.substr(0, key_size)),
+                         std::string(body.substr(key_size, value_size)),
                          number_in(line.substr(first + 1, second - first - 1))});
         body.remove_prefix(key_size + value_size);
     }
 }
 
-void call(const store_client& client, const http_request& request, milliseconds timeout, const std::string& key,
-          store_callback done) {
-    exchange(*client.loop, client.address, request, timeout, [key, done = std::move(done)](const http_answer& answer) {
-        store_answer result;
-        result.status = status_of(answer);
-        result.value = {key, answer.body, number_in(header_value(answer, "X-Revision"))};
-        result.lease = header_value(answer, "X-Lease");
-        done(result);
-    });
+void call(const store_client& client, const http_request& request, milliseconds timeout,
+          const std::string& key, store_callback done) {
+    exchange(*client.loop, client.address, request, timeout,
+             [key, done = std::move(done)](const http_answer& answer) {
+                 store_answer result;
+                 result.status = status_of(answer);
+                 result.value = {key, answer.body, number_in(header_value(answer, "X-Revision"))};
+                 result.lease = header_value(answer, "X-Lease");
+                 done(result);
+             });
 }
 
-void put(const store_client& client, const std::string& key, const std::string& parameters, const std::string& bytes,
-         const std::string& lease, store_callback done) {
-    const std::string path = "/v1/kv?key=" + encoded(key) + parameters + (lease.empty() ? "" : "&lease=" + lease);
+void put(const store_client& client, const std::string& key, const std::string& parameters,
+         const std::string& bytes, const std::string& lease, store_callback done) {
+    const std::string path =
+        "/v1/kv?key=" + encoded(key) + parameters + (lease.empty() ? "" : "&lease=" + lease);
     call(client, {EVHTTP_REQ_PUT, path, {}, bytes}, client.timeout, key, std::move(done));
 }
 
 } // namespace
 
 void read_value(const store_client& client, const std::string& key, store_callback done) {
-    call(client, {EVHTTP_REQ_GET, "/v1/kv?key=" + encoded(key), {}, {}}, client.timeout, key, std::move(done));
+    call(client, {EVHTTP_REQ_GET, "/v1/kv?key=" + encoded(key), {}, {}}, client.timeout, key,
+         std::move(done));
 }
 
 void list_values(const store_client& client, const std::string& prefix, store_callback done) {
@@ -124,8 +128,8 @@
     call(client, {EVHTTP_REQ_GET, path, {}, {}}, wait + watch_margin, key, std::move(done));
 }
 
-void write_value(const store_client& client, const std::string& key, std::uint64_t expected, const std::string& bytes,
-                 const std::string& lease, store_callback done) {
+void write_value(const store_client& client, const std::string& key, std::uint64_t expected,
+                 const std::string& bytes, const std::string& lease, store_callback done) {
     put(client, key, "&expect=" + std::to_string(expected), bytes, lease, std::move(done));
 }
 
@@ -140,7 +144,8 @@
 }
 
 void renew_lease(const store_client& client, const std::string& lease, store_callback done) {
-    call(client, {EVHTTP_REQ_POST, "/v1/lease/renew?lease=" + lease, {}, {}}, client.timeout, {}, std::move(done));
+    call(client, {EVHTTP_REQ_POST, "/v1/lease/renew?lease=" + lease, {}, {}}, client.timeout, {},
+         std::move(done));
 }
 
 } // namespace waxwingfall
--- a/lib/standin/load.cpp
+++ b/lib/standin/load.cpp
@@ -46,7 +46,8 @@
     const auto due = static_cast<std::uint64_t>(static_cast<double>(elapsed) * options_.rate / thousand);
     while (created_ < due) {
         auto made = std::make_unique<caller_request>();
-        made->is_post = random_below(random_, 1000) < static_cast<std::uint64_t>(options_.post_share * thousand);
+        made->is_post =
+            random_below(random_, 1000) < static_cast<std::uint64_t>(options_.post_share * thousand);
         made->id = "r" + std::to_string(options_.seed) + "-" + std::to_string(created_++);
         made->key = make_idempotency_key(wall_now(), random_(), random_());
         open_ += 1;
@@ -101,7 +102,8 @@
     callbacks.on_end = [this, &request, state](upstream_end end) {
         if (end != upstream_end::complete) {
             const bool never_sent = end == upstream_end::not_connected;
-            settle(request, never_sent ? told::not_run : told::nothing, never_sent ? "no-connection" : "lost");
+            settle(request, never_sent ? told::not_run : told::nothing,
+                   never_sent ? "no-connection" : "lost");
             return;
         }
         if (state->outcome == "done") {
@@ -111,7 +113,8 @@
                 request.latency_ms = spent.count();
             }
             const bool names_request = state->body.find("\"request\":") != std::string::npos;
-            request.wrong_answer |= names_request && state->body.find("\"" + request.id + "\"") == std::string::npos;
+            request.wrong_answer |=
+                names_request && state->body.find("\"" + request.id + "\"") == std::string::npos;
             settle(request, told::done, {});
             return;
         }
--- a/lib/standin/platform_service.cpp
+++ b/lib/standin/platform_service.cpp
@@ -124,8 +124,8 @@
     counts_.reads += 1;
     const std::string prefix = query_value(request, "prefix");
     std::string body;
-    for (auto found = entries_.lower_bound(prefix); found != entries_.end() && found->first.starts_with(prefix);
-         ++found) {
+    for (auto found = entries_.lower_bound(prefix);
+         found != entries_.end() && found->first.starts_with(prefix); ++found) {
         body += std::to_string(found->first.size()) + " " + std::to_string(found->second.revision) + " " +
                 std::to_string(found->second.bytes.size()) + "\n" + found->first + found->second.bytes;
     }
@@ -178,9 +178,8 @@
     }
     answer(request, 200,
            "{\"reads\":" + std::to_string(counts_.reads) + ",\"writes\":" + std::to_string(counts_.writes) +
-               ",\"watches\":" + std::to_string(counts_.watches) +
-               ",\"lease_calls\":" + std::to_string(counts_.lease_calls) +
-               ",\"waiting\":" + std::to_string(watches_.size()) +
+               ",\"watches\":" + std::to_string(counts_.watches) + ",\"lease_calls\":" +
+               std::to_string(counts_.lease_calls) + ",\"waiting\":" + std::to_string(watches_.size()) +
                ",\"bytes_out\":" + std::to_string(counts_.bytes_out) + "}\n");
 }
 
--- a/lib/standin/worker_service.cpp
+++ b/lib/standin/worker_service.cpp
@@ -25,8 +25,9 @@
 worker_service::worker_service(const event_loop& loop, const worker_options& options)
     : loop_(loop), options_(options), started_(monotonic_now()), run_log_(options.run_log, std::ios::app),
       server_(loop, options.address, [this](evhttp_request* request) { receive(request); }) {
-    evhttp_set_allowed_methods(server_.raw(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
-                                                  EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH | EVHTTP_REQ_OPTIONS);
+    evhttp_set_allowed_methods(server_.raw(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                                                  EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH |
+                                                  EVHTTP_REQ_OPTIONS);
 }
 
 void worker_service::note(const std::string& id, const std::string& what) {
@@ -86,12 +87,15 @@
     }
     evhttp_connection_set_closecb(
         evhttp_request_get_connection(request),
-        [](evhttp_connection* connection, void* self) { static_cast<worker_service*>(self)->drop_closed(connection); },
+        [](evhttp_connection* connection, void* self) {
+            static_cast<worker_service*>(self)->drop_closed(connection);
+        },
         this);
     const bool cold = monotonic_now() - started_ < options_.cold_time;
     const milliseconds asked(static_cast<std::int64_t>(
         number_in(query_value(request, "run_ms"), static_cast<std::uint64_t>(options_.run_time.count()))));
-    made->timer = loop_event::after(loop_, cold ? asked * cold_factor : asked, [this, number] { complete(number); });
+    made->timer =
+        loop_event::after(loop_, cold ? asked * cold_factor : asked, [this, number] { complete(number); });
     jobs_.emplace(number, std::move(made));
 }
 
@@ -106,8 +110,8 @@
         evbuffer* half = evbuffer_new();
         evbuffer_add(half, std::string(500, 'x').data(), 500);
         evhttp_send_reply_chunk_with_cb(
-            request, half,
-            [](evhttp_connection* connection, void*) { evhttp_connection_free(connection); }, nullptr);
+            request, half, [](evhttp_connection* connection, void*) { evhttp_connection_free(connection); },
+            nullptr);
         evbuffer_free(half);
         return;
     }
--- a/lib/support/event_log.cpp
+++ b/lib/support/event_log.cpp
@@ -42,10 +42,6 @@
     event_row{worker_crashed, "worker-crashed", "error"},
     event_row{request_quarantined, "request-quarantined", "error"},
     event_row{worker_health_changed, "worker-health-changed", "info"},
-    event_row{call_refused, "call-refused", "warn"},
-    event_row{call_unknown, "call-unknown", "warn"},
-    event_row{version_accepted, "version-accepted", "info"},
-    event_row{proposal_refused, "proposal-refused", "warn"},
 };
 
 const event_row& row_of(event_id id) {
--- a/lib/support/yaml_tree.cpp
+++ b/lib/support/yaml_tree.cpp
@@ -124,7 +124,8 @@
     void open(yaml_value::shape kind, const YAML::Mark& mark, YAML::anchor_t anchor) {
         refuse_anchor(mark, anchor);
         if (stack_.size() >= max_depth) {
-            add(error_kind::too_deep, mark, "values are nested over " + std::to_string(max_depth) + " levels");
+            add(error_kind::too_deep, mark,
+                "values are nested over " + std::to_string(max_depth) + " levels");
             throw refused_input{};
         }
         stack_.push_back({make(kind, mark), true, {}});
@@ -166,8 +167,9 @@
         const auto same = std::find_if(top.value.entries.begin(), top.value.entries.end(),
                                        [&](const yaml_entry& entry) { return entry.key == key.scalar; });
         if (same != top.value.entries.end()) {
-            faults_.push_back({error_kind::duplicate_key, where,
-                               "key '" + key.scalar + "' already stands in line " + std::to_string(same->line)});
+            faults_.push_back(
+                {error_kind::duplicate_key, where,
+                 "key '" + key.scalar + "' already stands in line " + std::to_string(same->line)});
         }
     }
 
@@ -255,7 +257,8 @@
     return true;
 }
 
-std::string yaml_reader::text(const yaml_value& map, std::string_view key, bool required, std::string fallback) {
+std::string yaml_reader::text(const yaml_value& map, std::string_view key, bool required,
+                              std::string fallback) {
     const yaml_value* value = child(map, key, required);
     if (value == nullptr) {
         return fallback;
@@ -276,14 +279,16 @@
     std::int64_t parsed = 0;
     const char* const end = value->scalar.data() + value->scalar.size();
     const auto result = std::from_chars(value->scalar.data(), end, parsed);
-    const bool whole = value->kind == yaml_value::shape::scalar && result.ptr == end && !value->scalar.empty();
+    const bool whole =
+        value->kind == yaml_value::shape::scalar && result.ptr == end && !value->scalar.empty();
     if (!whole || (result.ec != std::errc{} && result.ec != std::errc::result_out_of_range)) {
         report(error_kind::wrong_type, *value, "'" + std::string(key) + "' must be a whole number");
         return fallback.value_or(low);
     }
     if (result.ec == std::errc::result_out_of_range || parsed < low || parsed > high) {
         report(error_kind::out_of_range, *value,
-               "'" + std::string(key) + "' must be from " + std::to_string(low) + " to " + std::to_string(high));
+               "'" + std::string(key) + "' must be from " + std::to_string(low) + " to " +
+                   std::to_string(high));
         return fallback.value_or(low);
     }
     return static_cast<std::uint32_t>(parsed);
--- a/lib/zone/distribution.cpp
+++ b/lib/zone/distribution.cpp
@@ -19,9 +19,9 @@
     if (state.held.mark.digest == digest) {
         return &state.held;
     }
-    const auto found = std::find_if(state.former.begin(), state.former.end(), [&](const marked_content& content) {
-        return content.mark.digest == digest;
-    });
+    const auto found =
+        std::find_if(state.former.begin(), state.former.end(),
+                     [&](const marked_content& content) { return content.mark.digest == digest; });
     return found == state.former.end() ? nullptr : &*found;
 }
 
@@ -131,7 +131,8 @@
     return effects;
 }
 
-distribution_effects handle_pull(const distribution& state, const wire::pull& pull, const std::string& reply_to) {
+distribution_effects handle_pull(const distribution& state, const wire::pull& pull,
+                                 const std::string& reply_to) {
     distribution_effects effects;
     if (state.held.mark.version == 0 || state.held.mark.version < pull.want().version()) {
         return effects;
@@ -152,8 +153,8 @@
     return effects;
 }
 
-distribution_effects handle_content(distribution& state, const wire::content& content, const std::string& source,
-                                    time_point now) {
+distribution_effects handle_content(distribution& state, const wire::content& content,
+                                    const std::string& source, time_point now) {
     const version_mark mark = from_wire(content.what());
     if (mark.version <= state.held.mark.version) {
         return learn_mark(state, mark, source, now);
--- a/lib/zone/member.cpp
+++ b/lib/zone/member.cpp
@@ -42,11 +42,13 @@
     return in;
 }
 
-std::vector<member_id> rendezvous_top(std::vector<member_id> candidates, std::string_view topic, std::size_t count) {
+std::vector<member_id> rendezvous_top(std::vector<member_id> candidates, std::string_view topic,
+                                      std::size_t count) {
     const std::uint64_t salt = stable_hash(topic);
     const auto weight = [salt](member_id id) { return mix_hash(id, salt); };
     const std::size_t kept = std::min(count, candidates.size());
-    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept), candidates.end(),
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(kept),
+                      candidates.end(),
                       [&](member_id left, member_id right) { return weight(left) > weight(right); });
     candidates.resize(kept);
     return candidates;
--- a/lib/zone/membership.cpp
+++ b/lib/zone/membership.cpp
@@ -136,13 +136,15 @@
     for (auto entry = state.probes.begin(); entry != state.probes.end();) {
         auto& [sequence, waiting] = *entry;
         const auto target = state.members.find(waiting.target);
-        const bool local = target != state.members.end() && target->second.data_centre == state.self.data_centre;
+        const bool local =
+            target != state.members.end() && target->second.data_centre == state.self.data_centre;
         const bool expired = now - waiting.sent > state.policy.probe_timeout * 2;
         if (!local || target->second.state == member_state::dead || expired) {
             if (local && expired) {
                 failed.push_back(waiting.target);
             }
-            entry = now - waiting.sent > state.policy.probe_timeout ? state.probes.erase(entry) : std::next(entry);
+            entry = now - waiting.sent > state.policy.probe_timeout ? state.probes.erase(entry)
+                                                                    : std::next(entry);
             continue;
         }
         if (!waiting.asked_others && now - waiting.sent > state.policy.probe_timeout) {
@@ -192,7 +194,8 @@
         return effects;
     }
     const std::uint32_t doublings = std::min(state.join_attempts++, 10U);
-    const milliseconds wait = std::min(state.policy.join_backoff_base * (1U << doublings), state.policy.join_backoff_limit);
+    const milliseconds wait =
+        std::min(state.policy.join_backoff_base * (1U << doublings), state.policy.join_backoff_limit);
     state.next_join = now + jittered(wait, random);
     wire::frame frame;
     *frame.mutable_join()->mutable_self() = to_wire(state.self);
@@ -204,8 +207,8 @@
     return effects;
 }
 
-/// After a pause of this process, answers have waited unread and say nothing about the others: probes start anew
-/// and suspicions get their whole time again.
+/// After a pause of this process, answers have waited unread and say nothing about the others: probes start
+/// anew and suspicions get their whole time again.
 void forgive_after_pause(membership& state, time_point now) {
     const bool paused = now - state.last_tick > state.policy.probe_timeout;
     state.last_tick = now;
@@ -222,7 +225,8 @@
 
 bool take_join_token(membership& state, time_point now) {
     join_allowance& joins = state.joins;
-    const double refill = static_cast<double>(elapsed_ms(joins.refilled, now)) * state.policy.joins_per_second / 1000.0;
+    const double refill =
+        static_cast<double>(elapsed_ms(joins.refilled, now)) * state.policy.joins_per_second / 1000.0;
     joins.tokens = std::min(static_cast<double>(state.policy.join_burst), joins.tokens + refill);
     joins.refilled = now;
     if (joins.tokens < 1.0) {
@@ -234,8 +238,8 @@
 
 } // namespace
 
-membership start_membership(const membership_policy& policy, const member& self, std::vector<std::string> contacts,
-                            time_point now) {
+membership start_membership(const membership_policy& policy, const member& self,
+                            std::vector<std::string> contacts, time_point now) {
     membership state;
     state.policy = policy;
     state.self = self;
@@ -255,6 +259,10 @@
     std::vector<member> news;
     for (const member& record : records) {
         if (record.id == state.self.id) {
+            const bool is_alive = record.state == member_state::alive;
+            const bool is_newer = record.incarnation > state.self.incarnation;
+            state.name_conflicts +=
+                is_alive && is_newer && record.control_address != state.self.control_address ? 1 : 0;
             if (supersedes(record, state.self)) {
                 refute(state, record, now);
                 news.push_back(state.self);
@@ -286,7 +294,8 @@
 
 void add_contacts(membership& state, const std::vector<std::string>& addresses) {
     for (const std::string& address : addresses) {
-        const bool known = std::find(state.contacts.begin(), state.contacts.end(), address) != state.contacts.end();
+        const bool known =
+            std::find(state.contacts.begin(), state.contacts.end(), address) != state.contacts.end();
         if (!known && address != state.self.control_address) {
             state.contacts.push_back(address);
         }
@@ -366,7 +375,8 @@
             }
             continue;
         }
-        const auto own = std::pair(known->second.incarnation, static_cast<std::uint32_t>(known->second.state));
+        const auto own =
+            std::pair(known->second.incarnation, static_cast<std::uint32_t>(known->second.state));
         const auto theirs = std::pair(stamp.incarnation(), stamp.state());
         if (own > theirs) {
             *answer.add_members() = to_wire(known->second);
@@ -382,8 +392,9 @@
     return {{{reply_to, frame}}, {}};
 }
 
-membership_effects handle_sync_answer(membership& state, const wire::sync_answer& answer, const std::string& reply_to,
-                                      const std::string& from_data_centre, time_point now) {
+membership_effects handle_sync_answer(membership& state, const wire::sync_answer& answer,
+                                      const std::string& reply_to, const std::string& from_data_centre,
+                                      time_point now) {
     std::vector<member> records;
     for (const wire::member& record : answer.members()) {
         records.push_back(from_wire(record));
@@ -402,8 +413,8 @@
     return effects;
 }
 
-membership_effects handle_join(membership& state, const member& joiner, const std::string& reply_to, time_point now,
-                               random_source& random) {
+membership_effects handle_join(membership& state, const member& joiner, const std::string& reply_to,
+                               time_point now, random_source& random) {
     wire::frame frame;
     wire::join_answer& answer = *frame.mutable_join_answer();
     const bool admitted = take_join_token(state, now);
--- a/lib/zone/zone.cpp
+++ b/lib/zone/zone.cpp
@@ -13,7 +13,8 @@
 
 /// Tells the neighbours of newly held content. It crosses to other data centres only from the data
 /// centre's bridges, and only if it did not come from another data centre.
-void spread(const zone& state, const distribution& kind, const std::string& from_data_centre, zone_effects& effects) {
+void spread(const zone& state, const distribution& kind, const std::string& from_data_centre,
+            zone_effects& effects) {
     const membership& nodes = state.nodes;
     std::vector<member_id> targets = fingers(nodes);
     if (from_data_centre == nodes.self.data_centre && own_bridge_rank(nodes)) {
@@ -33,6 +34,7 @@
     if (bridges.empty()) {
         return;
     }
+    state.reported_to = bridges.front();
     wire::frame frame;
     wire::report& report = *frame.mutable_report();
     report.set_node(state.nodes.self.name);
@@ -46,8 +48,8 @@
     effects.messages.push_back({state.nodes.members.at(bridges.front()).control_address, frame});
 }
 
-void append_contract(zone& state, distribution_effects more, const std::string& from_data_centre, time_point now,
-                     zone_effects& effects) {
+void append_contract(zone& state, distribution_effects more, const std::string& from_data_centre,
+                     time_point now, zone_effects& effects) {
     std::move(more.messages.begin(), more.messages.end(), std::back_inserter(effects.messages));
     effects.contract_enforced |= more.enforced;
     effects.contract_refused |= more.refused;
@@ -72,10 +74,20 @@
 
 void learn_marks(zone& state, const wire::mark& contract_mark, const wire::mark& ledger_mark,
                  const std::string& source, const std::string& from, time_point now, zone_effects& effects) {
-    append_contract(state, learn_mark(state.contracts, from_wire(contract_mark), source, now), from, now, effects);
+    append_contract(state, learn_mark(state.contracts, from_wire(contract_mark), source, now), from, now,
+                    effects);
     append_ledger(state, learn_mark(state.ledgers, from_wire(ledger_mark), source, now), from, effects);
 }
 
+/// A new first bridge knows nothing of this node yet.
+void hasten_report(zone& state, time_point now, random_source& random) {
+    const auto bridges = bridges_of(state.nodes, state.nodes.self.data_centre);
+    if (!bridges.empty() && bridges.front() != state.reported_to) {
+        state.reported_to = bridges.front();
+        state.next_report = std::min(state.next_report, now + jittered(state.policy.report_spread, random));
+    }
+}
+
 template <typename Message> void write_summary(const zone& state, Message& message) {
     message.set_table_hash(state.nodes.table_hash);
     *message.mutable_newest() = to_wire(state.contracts.held.mark);
@@ -144,10 +156,11 @@
 void handle_content_frame(zone& state, const wire::frame& frame, const std::string& from, time_point now,
                           zone_effects& effects) {
     if (frame.content().ledger()) {
-        append_ledger(state, handle_content(state.ledgers, frame.content(), frame.reply_to(), now), from, effects);
+        append_ledger(state, handle_content(state.ledgers, frame.content(), frame.reply_to(), now), from,
+                      effects);
     } else {
-        append_contract(state, handle_content(state.contracts, frame.content(), frame.reply_to(), now), from, now,
-                        effects);
+        append_contract(state, handle_content(state.contracts, frame.content(), frame.reply_to(), now), from,
+                        now, effects);
     }
 }
 
@@ -243,6 +256,7 @@
     const std::string& own = state.nodes.self.data_centre;
     append_contract(state, tick_distribution(state.contracts, now), own, now, effects);
     append_ledger(state, tick_distribution(state.ledgers, now), own, effects);
+    hasten_report(state, now, random);
     if (now >= state.next_report) {
         append_report(state, now, &random, effects);
     }
@@ -252,7 +266,8 @@
 
 zone_effects take_platform_contract(zone& state, const marked_content& content, time_point now) {
     zone_effects effects;
-    append_contract(state, take_content(state.contracts, content, now), state.nodes.self.data_centre, now, effects);
+    append_contract(state, take_content(state.contracts, content, now), state.nodes.self.data_centre, now,
+                    effects);
     seal(state, effects);
     return effects;
 }
--- /dev/null
+++ b/tools/standin-link/main.cpp
@@ -0,0 +1,50 @@
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+#include <docopt/docopt.h>
+
+#include "waxwingfall/standin/link_service.h"
+
+namespace {
+
+constexpr const char* usage_text = R"(A stand-in for the links between data centres, for tests only.
+
+Usage:
+  standin-link ADDRESS FILE [--delay-ms MS]
+
+ADDRESS is for control. Each line of FILE holds the name of a link, the address to listen at and the target.
+
+Options:
+  --delay-ms MS  One way [default: 0].
+)";
+
+} // namespace
+
+int main(int argc, char** argv) {
+    using namespace waxwingfall;
+    const auto given = docopt::docopt(usage_text, {argv + 1, argv + argc});
+    const auto control = parse_address(given.at("ADDRESS").asString());
+    std::ifstream file(given.at("FILE").asString());
+    std::vector<standin::forwarding> forwardings;
+    std::string link;
+    std::string listen;
+    std::string target;
+    while (file >> link >> listen >> target) {
+        const auto from = parse_address(listen);
+        const auto to = parse_address(target);
+        if (from && to) {
+            forwardings.push_back({link, *from, *to});
+        }
+    }
+    if (!control) {
+        std::cerr << usage_text;
+        return 2;
+    }
+    event_loop loop;
+    const standin::link_service service(loop, *control, forwardings,
+                                        milliseconds(given.at("--delay-ms").asLong()));
+    const auto on_term = loop_event::on_signal(loop, SIGTERM, [&] { loop.stop(); });
+    loop.run();
+    return 0;
+}
--- a/tools/standin-load/main.cpp
+++ b/tools/standin-load/main.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr const char* usage_text = R"(Callers for tests: sends requests and compares what they were told with what workers ran.
+constexpr const char* usage_text =
+    R"(Callers for tests: sends requests and compares what they were told with what workers ran.
 
 Usage:
   standin-load LOG... [options]
@@ -47,7 +48,8 @@
     standin::load_options options;
     options.nodes = read_nodes(given.at("--nodes") ? given.at("--nodes").asString() : "");
     options.rate = std::stod(given.at("--rate").asString());
-    options.duration = milliseconds(static_cast<std::int64_t>(std::stod(given.at("--seconds").asString()) * thousand));
+    options.duration =
+        milliseconds(static_cast<std::int64_t>(std::stod(given.at("--seconds").asString()) * thousand));
     options.post_share = std::stod(given.at("--post-share").asString());
     options.host = given.at("--host").asString();
     options.get_path = given.at("--get-path").asString();
--- a/tools/waxwingctl/main.cpp
+++ b/tools/waxwingctl/main.cpp
@@ -124,9 +124,9 @@
                          text_of(given, "--source-revision"), std::cout);
     }
     if (given.at("promote").asBool()) {
-        const promote_options promotion{text_of(given, "--from"), text_of(given, "--to"),
-                                        number_of(given, "--expect"), milliseconds(number_of(given, "--soak-ms")),
-                                        share_of(given, "--max-failed-percent")};
+        const promote_options promotion{
+            text_of(given, "--from"), text_of(given, "--to"), number_of(given, "--expect"),
+            milliseconds(number_of(given, "--soak-ms")), share_of(given, "--max-failed-percent")};
         return run_promote(options, promotion, std::cout);
     }
     if (given.at("wait").asBool()) {
--- a/tools/waxwingfall/main.cpp
+++ b/tools/waxwingfall/main.cpp
@@ -33,7 +33,8 @@
         const auto on_int = loop_event::on_signal(loop, SIGINT, [&] { running.leave(); });
         loop.run();
     } catch (const std::exception& error) {
-        std::cerr << "waxwingfall: " << answer_of(error_kind::address_in_use).name << ": " << error.what() << "\n";
+        std::cerr << "waxwingfall: " << answer_of(error_kind::address_in_use).name << ": " << error.what()
+                  << "\n";
         return answer_of(error_kind::address_in_use).exit_code;
     }
     return 0;
@@ -42,7 +43,8 @@
 int load_and_run(const std::string& path, bool check_only) {
     const auto text = read_bounded_file(path);
     if (!text) {
-        std::cerr << path << ": " << answer_of(error_kind::file_unreadable).name << ": the file can't be read\n";
+        std::cerr << path << ": " << answer_of(error_kind::file_unreadable).name
+                  << ": the file can't be read\n";
         return answer_of(error_kind::file_unreadable).exit_code;
     }
     return boost::leaf::try_handle_all(
--- /dev/null
+++ b/unittests/contract/document_test.cpp
@@ -0,0 +1,199 @@
+#include <string>
+#include <vector>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "waxwingfall/contract/document.h"
+#include "waxwingfall/contract/snapshot.h"
+#include "waxwingfall/support/digest.h"
+
+using namespace waxwingfall;
+
+namespace {
+
+std::vector<fault> faults_of(const std::string& text) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::vector<fault>> {
+            BOOST_LEAF_CHECK(parse_contract(text, "d.yaml"));
+            return std::vector<fault>{};
+        },
+        [](const fault_list& list) { return list.faults; }, [] { return std::vector<fault>{{}}; });
+}
+
+bool has_fault(const std::string& text, error_kind kind, int line, int column) {
+    for (const fault& found : faults_of(text)) {
+        if (found.kind == kind && found.place.line == line && found.place.column == column) {
+            return true;
+        }
+    }
+    return false;
+}
+
+contract parsed(const std::string& text) {
+    return boost::leaf::try_handle_all([&] { return parse_contract(text, "d.yaml"); },
+                                       [] {
+                                           ADD_FAILURE() << "the document was refused";
+                                           return contract{};
+                                       });
+}
+
+const std::string good = "services:\n  a: {}\nroutes:\n  - {host: h, prefix: /, service: a}\n";
+
+/// Contracts whose references all hold, over a small set of names so that changes overlap.
+rc::Gen<contract> arbitrary_contract() {
+    return rc::gen::exec([] {
+        contract content;
+        for (const char* name : {"a", "b", "c", "d"}) {
+            if (*rc::gen::inRange(0, 3) > 0) {
+                service_contract service;
+                service.name = name;
+                service.timeout_ms = *rc::gen::inRange(10U, 600'000U);
+                service.max_attempts = *rc::gen::inRange(1U, 5U);
+                service.queue = *rc::gen::inRange(0U, 100U);
+                if (!content.services.empty() && *rc::gen::arbitrary<bool>()) {
+                    service.depends_on = {content.services.front().name};
+                }
+                content.services.push_back(service);
+            }
+        }
+        for (const char* prefix : {"/", "/p", "/p/q"}) {
+            if (!content.services.empty() && *rc::gen::arbitrary<bool>()) {
+                route_contract route{"h", prefix, content.services.back().name, 0, {}};
+                if (*rc::gen::arbitrary<bool>()) {
+                    route.non_idempotent_methods = {"POST"};
+                }
+                content.routes.push_back(route);
+            }
+        }
+        return content;
+    });
+}
+
+} // namespace
+
+TEST(Document, AcceptsTheSmallest) {
+    EXPECT_EQ(parsed(good).routes.size(), 1U);
+}
+
+TEST(Document, ReportsEachFaultAtItsPlace) {
+    EXPECT_TRUE(has_fault("services:\n  a: {x: 1}\nroutes: []\n", error_kind::unknown_key, 2, 7));
+    EXPECT_TRUE(has_fault("services:\n  a: {}\n  a: {}\nroutes: []\n", error_kind::duplicate_key, 3, 3));
+    EXPECT_TRUE(has_fault("services: []\nroutes: []\n", error_kind::wrong_type, 1, 11));
+    EXPECT_TRUE(has_fault("services:\n  a: {timeout_ms: 5}\nroutes: []\n", error_kind::out_of_range, 2, 19));
+    EXPECT_TRUE(has_fault("services:\n  a: {timeout_ms: x}\nroutes: []\n", error_kind::wrong_type, 2, 19));
+    EXPECT_TRUE(has_fault("services:\n  a: {timeout_ms: 99999999999999999999}\nroutes: []\n",
+                          error_kind::out_of_range, 2, 19));
+    EXPECT_TRUE(has_fault("services: {}\nroutes:\n  - {host: h, prefix: /, service: z}\n",
+                          error_kind::dangling_reference, 3, 5));
+    EXPECT_TRUE(
+        has_fault("services:\n  a: {depends_on: [z]}\nroutes: []\n", error_kind::dangling_reference, 2, 3));
+    EXPECT_TRUE(has_fault("services:\n  a: {depends_on: [b]}\n  b: {depends_on: [a]}\nroutes: []\n",
+                          error_kind::dependency_cycle, 3, 3));
+    EXPECT_TRUE(has_fault("services:\n  a: {}\nroutes:\n  - {host: h, prefix: /x, service: a}\n"
+                          "  - {host: h, prefix: /x/, service: a}\n",
+                          error_kind::overlapping_route, 5, 5));
+    EXPECT_TRUE(has_fault("services: &s {}\nroutes: []\n", error_kind::alias_refused, 1, 11));
+    EXPECT_TRUE(has_fault("services: {}\n", error_kind::missing_key, 1, 1));
+    EXPECT_TRUE(has_fault("services: {}\nroutes: [\n", error_kind::syntax, 3, 1));
+    EXPECT_TRUE(has_fault("services: {}\nroutes: [] \xff\n", error_kind::not_utf8, 2, 12));
+}
+
+TEST(Document, ReportsAllFaultsInOneRun) {
+    const auto found =
+        faults_of("services:\n  a: {timeout_ms: 5, x: 1}\nroutes:\n  - {host: h, prefix: p, service: z}\n");
+    EXPECT_EQ(found.size(), 4U);
+}
+
+TEST(Document, RefusesHostileShapes) {
+    EXPECT_EQ(faults_of(std::string(1'000'001, ' ')).front().kind, error_kind::too_large);
+    EXPECT_EQ(faults_of(std::string(10'000, '[')).front().kind, error_kind::too_deep);
+    std::string bomb = "a: &a [x,x,x,x,x,x,x,x,x]\n";
+    for (char name = 'b'; name < 'k'; ++name) {
+        const std::string before(1, static_cast<char>(name - 1));
+        bomb += std::string(1, name) + ": &" + name + " [*" + before + ",*" + before + ",*" + before + "]\n";
+    }
+    EXPECT_TRUE(has_fault(bomb, error_kind::alias_refused, 2, 8));
+}
+
+TEST(Document, BearsAChainOfServicesThatIsLongerThanTheStack) {
+    std::string text = "services:\n";
+    constexpr int length = 20'000;
+    for (int index = 0; index < length; ++index) {
+        text += "  s" + std::to_string(index) + ": {depends_on: [s" + std::to_string((index + 1) % length) +
+                "]}\n";
+    }
+    EXPECT_EQ(faults_of(text + "routes: []\n").size(), 1U);
+}
+
+RC_GTEST_PROP(Document, NoTextCrashesTheParser, (const std::string& text)) {
+    faults_of(text);
+}
+
+RC_GTEST_PROP(Document, NoDamageToAGoodDocumentCrashesTheParser, ()) {
+    std::string text = good;
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[at] = *rc::gen::arbitrary<char>();
+    text.insert(*rc::gen::inRange<std::size_t>(0, text.size()),
+                *rc::gen::element<std::string>("&a ", "*a", "- ", "{", ": "));
+    faults_of(text);
+}
+
+RC_GTEST_PROP(Snapshot, EncodingIsReadBackUnchanged, ()) {
+    const contract content = *arbitrary_contract();
+    const std::string bytes = encode_contract(content);
+    RC_ASSERT(why_refused(bytes).empty());
+    RC_ASSERT(decode_contract(bytes) == content);
+}
+
+RC_GTEST_PROP(Snapshot, DeltaLeadsFromBaseToTarget, ()) {
+    const std::string base = encode_contract(*arbitrary_contract());
+    const std::string target = encode_contract(*arbitrary_contract());
+    const auto delta = make_delta(base, target);
+    RC_ASSERT(delta.has_value());
+    RC_ASSERT(apply_delta(base, *delta) == target);
+}
+
+RC_GTEST_PROP(Snapshot, DamagedBytesAreRefusedOrWholeAndClosed, ()) {
+    std::string bytes = encode_contract(*rc::gen::suchThat(
+        arbitrary_contract(), [](const contract& content) { return !content.services.empty(); }));
+    bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+    const auto content = decode_contract(bytes);
+    if (content) {
+        for (const route_contract& route : content->routes) {
+            RC_ASSERT(find_service(*content, route.service) != nullptr);
+        }
+    }
+}
+
+TEST(Snapshot, RefusesWhatItDoesNotKnow) {
+    // Field 15 with a number: a newer program's addition.
+    const std::string bytes = encode_contract(parsed(good)) + "\x78\x01";
+    EXPECT_EQ(why_refused(bytes), "the content has parts that this program does not know");
+}
+
+TEST(Snapshot, RefusesARouteToAServiceThatIsNotThere) {
+    contract content = parsed(good);
+    content.services.clear();
+    EXPECT_NE(why_refused(encode_contract(content)), "");
+}
+
+TEST(Routes, TheLongestWholeSegmentWins) {
+    const contract content =
+        parsed("services:\n  a: {}\n  b: {}\nroutes:\n  - {host: h, prefix: /, service: a}\n"
+               "  - {host: h, prefix: /pay, service: b}\n");
+    EXPECT_EQ(match_route(content, "h:80", "/pay")->service, "b");
+    EXPECT_EQ(match_route(content, "h", "/pay/1")->service, "b");
+    EXPECT_EQ(match_route(content, "h", "/payment")->service, "a");
+    EXPECT_EQ(match_route(content, "other", "/"), nullptr);
+}
+
+TEST(Difference, NamesWhatChanges) {
+    const contract before = parsed(good);
+    contract after = before;
+    after.services.front().timeout_ms = 900;
+    after.routes.clear();
+    EXPECT_EQ(describe_difference(before, after),
+              (std::vector<std::string>{"~ service a: timeout_ms 2000 -> 900", "- route h/"}));
+}
--- /dev/null
+++ b/unittests/support/catalogue_test.cpp
@@ -0,0 +1,61 @@
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "waxwingfall/support/error.h"
+#include "waxwingfall/support/event_log.h"
+
+using namespace waxwingfall;
+
+namespace {
+
+/// The first cells of the rows of a table in a page of docs/.
+std::set<std::string> first_cells(const std::string& page) {
+    std::ifstream file(std::string(WAXWINGFALL_SOURCE_DIR) + "/docs/" + page);
+    std::set<std::string> cells;
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.starts_with("| `")) {
+            cells.insert(line.substr(3, line.find('`', 3) - 3));
+        }
+    }
+    return cells;
+}
+
+} // namespace
+
+TEST(Catalogue, DocumentsEveryErrorKind) {
+    std::set<std::string> names;
+    for (const error_answer& row : error_table()) {
+        names.insert(std::string(row.name));
+    }
+    EXPECT_EQ(names, first_cells("errors.md"));
+}
+
+TEST(Catalogue, DocumentsEveryEvent) {
+    std::set<std::string> rows;
+    for (const event_row& row : event_catalogue()) {
+        rows.insert(std::to_string(static_cast<int>(row.id)) + " " + std::string(row.name));
+    }
+    EXPECT_EQ(rows, first_cells("events.md"));
+}
+
+TEST(Errors, RefusalsSayThatNothingRan) {
+    for (const error_answer& row : error_table()) {
+        if (row.http_status == 0) {
+            EXPECT_EQ(row.result == outcome::done, false) << row.name;
+        } else {
+            EXPECT_NE(row.result, outcome::not_applicable) << row.name;
+        }
+    }
+}
+
+TEST(Errors, FaultNamesPlaceAndKind) {
+    const fault placed{error_kind::unknown_key, {"a.yaml", 3, 7}, "key 'x'"};
+    EXPECT_EQ(to_string(placed), "a.yaml:3:7: unknown-key: key 'x'");
+    const fault whole{error_kind::too_large, {"a.yaml", 0, 0}, "too long"};
+    EXPECT_EQ(to_string(whole), "a.yaml: too-large: too long");
+}
