--- /dev/null
+++ b/unittests/processes/test_calls.py
@@ -0,0 +1,267 @@
+"""The call path with real processes: at most once, refusals, broken answers, streams, crashes, planned stops."""
+
+import http.client
+import os
+import pathlib
+import re
+import signal
+import socket
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "utils"))
+from mesh import ROOT, finish_load, http as request, svecu_mesh, wait_for  # noqa: E402
+
+EXAMPLE = ROOT / "examples" / "svecu-serviss.yaml"
+HOST = {"Host": "rezervacijas.example"}
+RSS_LIMIT_MB = 32
+
+
+def new_key(ahead_ms=0):
+    """A UUID of version 7."""
+    made = int(time.time() * 1000) + ahead_ms
+    digits = f"{made:012x}7{os.urandom(2).hex()[:3]}8{os.urandom(8).hex()[:15]}"
+    return f"{digits[:8]}-{digits[8:12]}-{digits[12:16]}-{digits[16:20]}-{digits[20:]}"
+
+
+def raw(address, data, seconds=5):
+    """What a node answers to bytes that no HTTP library would send."""
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port)), timeout=seconds) as connection:
+        connection.sendall(data)
+        answer = b""
+        try:
+            while piece := connection.recv(4096):
+                answer += piece
+                if b"\r\n\r\n" in answer and b"Connection: close" not in answer:
+                    break
+        except TimeoutError:
+            pass
+    return answer.decode(errors="replace")
+
+
+class Calls(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.mesh = svecu_mesh()
+        cls.addClassCleanup(cls.mesh.stop)
+        cls.mesh.start()
+        cls.mesh.wait_members(cls.mesh.nodes, 9)
+        cls.mesh.ctl("apply", EXAMPLE, "--environment", "production")
+        cls.mesh.wait_version(cls.mesh.nodes, 1)
+        cls.mesh.wait_ledger(cls.mesh.nodes, 3)
+        time.sleep(6)
+
+    def runs(self, request_id):
+        return sum(line.split() == [request_id, "started"] for path in self.mesh.run_logs()
+                   for line in path.read_text().splitlines())
+
+    def post(self, node, key, request_id, body=b"{}", path="/rezervet", timeout=10):
+        headers = dict(HOST, **{"X-Request-Id": request_id})
+        if key:
+            headers["Idempotency-Key"] = key
+        status, headers, text = request(node.calls, path, "POST", body, headers, timeout)
+        return status, headers.get("X-Waxwingfall-Outcome"), headers.get("X-Waxwingfall-Reason"), text, headers
+
+    def test_the_same_key_runs_once_through_every_node(self):
+        key = new_key()
+        first = self.post(self.mesh.nodes[0], key, "same-key")
+        self.assertEqual(first[:2], (200, "done"), first)
+        for node in self.mesh.nodes:
+            again = self.post(node, key, "same-key")
+            self.assertEqual((again[0], again[1], again[3]), (200, "done", first[3]))
+            self.assertEqual(again[4]["X-Waxwingfall-Replayed"], "true")
+        self.assertEqual(self.runs("same-key"), 1)
+
+    def test_keys_that_are_missing_malformed_or_reused(self):
+        node = self.mesh.nodes[2]
+        self.assertEqual(self.post(node, None, "no-key")[:3], (400, "not-run", "missing-idempotency-key"))
+        self.assertEqual(self.post(node, "x", "bad-key")[:3], (400, "not-run", "bad-idempotency-key"))
+        self.assertEqual(self.post(node, new_key(60_000), "ahead")[:3], (400, "not-run", "bad-idempotency-key"))
+        self.assertEqual(self.post(node, new_key(-700_000), "old")[1], "unknown")
+        key = new_key()
+        self.assertEqual(self.post(node, key, "reused")[0], 200)
+        self.assertEqual(self.post(node, key, "reused", b"{\"other\":1}")[:3],
+                         (422, "not-run", "idempotency-key-reused"))
+        for name, count in (("no-key", 0), ("bad-key", 0), ("ahead", 0), ("old", 0), ("reused", 1)):
+            self.assertEqual(self.runs(name), count, name)
+
+    def test_many_senders_of_one_key_at_once(self):
+        key = new_key()
+        ends = []
+        threads = [threading.Thread(target=lambda node=node: ends.append(self.post(node, key, "burst")))
+                   for node in self.mesh.nodes]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(self.runs("burst"), 1)
+        self.assertTrue(all(end[1] in ("done", "unknown") for end in ends), ends)
+        self.assertTrue(any(end[1] == "done" for end in ends))
+
+    def test_hostile_requests_never_reach_a_worker(self):
+        address = self.mesh.nodes[0].calls
+        before = sum(len(path.read_text()) for path in self.mesh.run_logs())
+        both = "POST /katalogs HTTP/1.1\r\nHost: rezervacijas.example\r\nContent-Length: 4\r\n" \
+               "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        cases = {
+            "both lengths": both,
+            "two lengths": "POST /katalogs HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            "no host": "GET /katalogs HTTP/1.1\r\n\r\n",
+            "two hosts": "GET /katalogs HTTP/1.1\r\nHost: a\r\nHost: rezervacijas.example\r\n\r\n",
+            "no HTTP": "\x00\x01\x02\r\n\r\n",
+            "long header": "GET /katalogs HTTP/1.1\r\nHost: rezervacijas.example\r\nX: " + "x" * 40_000 + "\r\n\r\n",
+            "long body": "POST /katalogs HTTP/1.1\r\nHost: rezervacijas.example\r\nContent-Length: 99999999\r\n\r\n",
+            "negative length": "POST /katalogs HTTP/1.1\r\nHost: rezervacijas.example\r\nContent-Length: -1\r\n\r\n",
+        }
+        for name, text in cases.items():
+            answer = raw(address, text.encode("latin-1"), 3)
+            self.assertTrue(answer == "" or re.match(r"HTTP/1\.[01] 4\d\d", answer), f"{name}: {answer[:80]!r}")
+        self.assertEqual(sum(len(path.read_text()) for path in self.mesh.run_logs()), before)
+        self.assertEqual(request(address, "/nowhere", headers={"Host": "unknown.example"})[0], 404)
+        self.assertEqual(request(address, "/katalogs", headers=HOST)[0], 200, "the node still serves")
+
+    def test_an_answer_cut_short_never_looks_whole(self):
+        node = self.mesh.by_name("riga-a-tir-1")
+        for worker in self.mesh.nodes:
+            if worker.service == "tirdznieciba":
+                request(worker.worker_address, "/control?cut_short=1")
+        with self.assertRaises((http.client.IncompleteRead, ConnectionError, http.client.RemoteDisconnected)):
+            for _ in range(12):
+                request(node.calls, "/katalogs", headers=HOST)
+        for worker in self.mesh.nodes:
+            if worker.service == "tirdznieciba":
+                try:
+                    request(worker.worker_address, "/x")  # uses up what is left
+                except (OSError, http.client.HTTPException):
+                    pass
+
+    def test_a_long_stream_to_a_slow_reader_in_bounded_memory(self):
+        node = self.mesh.nodes[0]
+        size = 100_000_000
+        host, port = node.calls.split(":")
+        with socket.socket() as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+            connection.connect((host, int(port)))
+            connection.sendall(f"GET /katalogs?bytes={size} HTTP/1.1\r\nHost: tirdznieciba.example\r\n\r\n".encode())
+            got = 0
+            worst = 0
+            start = time.monotonic()
+            head = b""
+            while got < size:
+                piece = connection.recv(1 << 20)
+                self.assertTrue(piece, f"the stream broke after {got} bytes")
+                if head is not None:
+                    head += piece
+                    if b"\r\n\r\n" in head:
+                        got += len(head.split(b"\r\n\r\n", 1)[1])
+                        head = None
+                    continue
+                got += len(piece)
+                if got < 2_000_000:
+                    time.sleep(0.02)  # slow at first, so that back-pressure sets in
+                if got % 10 == 0:
+                    worst = max(worst, *(each.resources()[1] / 1024 for each in self.mesh.nodes))
+        self.assertEqual(got, size)
+        worst = max(worst, *(each.resources()[1] / 1024 for each in self.mesh.nodes))
+        self.assertLess(worst, RSS_LIMIT_MB)
+        self.assertLess(time.monotonic() - start, 60)
+
+    def test_a_worker_that_dies_while_it_runs_a_payment(self):
+        node = self.mesh.nodes[0]
+        key = new_key()
+        ends = []
+        thread = threading.Thread(target=lambda: ends.append(
+            self.post(node, key, "dies", path="/maksat?run_ms=2000")))
+        thread.start()
+        wait_for(lambda: self.runs("dies") == 1, 5, "the payment runs")
+        victim = next(each for each in self.mesh.nodes if "dies started" in each.run_log.read_text())
+        victim.worker.kill()
+        thread.join()
+        self.assertEqual(ends[0][:3], (504, "unknown", "outcome-unknown"))
+        for other in self.mesh.nodes:
+            again = self.post(other, key, "dies", path="/maksat?run_ms=2000")
+            self.assertEqual(again[1], "unknown", again)
+        self.assertEqual(self.runs("dies"), 1)
+        victim.start_worker()
+        wait_for(lambda: victim.status()["worker_healthy"], 10, "the worker is back")
+
+    def test_cancelled_work_is_cancelled_at_the_worker(self):
+        host, port = self.mesh.nodes[0].calls.split(":")
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall(b"GET /katalogs?run_ms=3000 HTTP/1.1\r\nHost: rezervacijas.example\r\n"
+                               b"X-Request-Id: cancelled\r\n\r\n")
+            wait_for(lambda: self.runs("cancelled") == 1, 5, "it runs")
+        wait_for(lambda: any("cancelled cancelled" in path.read_text() for path in self.mesh.run_logs()), 2,
+                 "the worker learns of it")
+
+    def test_work_that_cannot_end_in_time_is_not_started(self):
+        status, headers, _ = request(self.mesh.nodes[0].calls, "/katalogs",
+                                     headers=dict(HOST, **{"X-Deadline-Ms": "1", "X-Request-Id": "too-late"}))
+        self.assertIn(status, (503, 504), headers)
+        self.assertEqual(self.runs("too-late"), 0)
+
+
+class Failures(unittest.TestCase):
+    def setUp(self):
+        self.mesh = svecu_mesh()
+        self.addCleanup(self.mesh.stop)
+        self.mesh.start()
+        self.mesh.wait_members(self.mesh.nodes, 9)
+        self.mesh.ctl("apply", EXAMPLE, "--environment", "production")
+        self.mesh.wait_version(self.mesh.nodes, 1)
+        self.mesh.wait_ledger(self.mesh.nodes, 3)
+        time.sleep(6)
+
+    def check_report(self, load):
+        code, report = finish_load(load)
+        self.assertEqual(code, 0, report)
+        self.assertEqual(report["lost"] + report["run_twice"] + report["refused_but_ran"] + report["wrong_answers"], 0)
+        return report
+
+    def test_a_request_that_crashes_workers_stops_at_three(self):
+        for attempt in range(6):
+            node = self.mesh.nodes[attempt]
+            try:
+                status, headers, _ = request(node.calls, "/plots?crash=1", headers=HOST)
+            except (OSError, http.client.HTTPException):
+                continue
+            if headers.get("X-Waxwingfall-Reason") == "crash-quarantined":
+                break
+        crashed = [node for node in self.mesh.nodes if not node.worker.alive()]
+        self.assertLessEqual(len(crashed), 3)
+        wait_for(lambda: all(request(node.calls, "/plots?crash=1", headers=HOST)[1]["X-Waxwingfall-Reason"] ==
+                             "crash-quarantined" for node in self.mesh.nodes), 5, "every node refuses it")
+        self.assertEqual(len([node for node in self.mesh.nodes if not node.worker.alive()]), len(crashed))
+        self.assertEqual(request(self.mesh.nodes[0].calls, "/plots?crash=", headers=HOST)[0], 200)
+
+    def test_planned_restarts_under_load_fail_no_call(self):
+        stays = [node for node in self.mesh.nodes if node.name.startswith("riga-c")]
+        leavers = [node for node in self.mesh.nodes if node.name in ("riga-a-rez-1", "riga-b-tir-1")]
+        load = self.mesh.load(stays, rate=80, seconds=22)
+        for node in leavers:
+            node.process.signal(signal.SIGTERM)
+            wait_for(lambda: not node.process.alive(), 35, f"{node.name} stops")
+            self.assertEqual(node.process.popen.returncode, 0)
+            node.start(with_worker=False)
+            wait_for(lambda: node.version() == 1, 10, "it is back")
+        report = self.check_report(load)
+        self.assertEqual(report["answered"], report["asked"], report)
+
+    def test_a_paused_node_and_a_killed_one(self):
+        paused, killed = self.mesh.nodes[0], self.mesh.nodes[4]
+        entry = [node for node in self.mesh.nodes if node not in (paused, killed)]
+        load = self.mesh.load(entry, rate=80, seconds=20)
+        time.sleep(2)
+        paused.process.signal(signal.SIGSTOP)
+        time.sleep(2)
+        killed.kill()
+        time.sleep(8)
+        paused.process.signal(signal.SIGCONT)
+        self.check_report(load)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
