--- a/include/waxwingfall/call/ledger.h
+++ b/include/waxwingfall/call/ledger.h
@@ -56,10 +56,10 @@
     /// time in which the predecessors learn of their end.
     milliseconds amnesia_margin{15000};
     milliseconds majority_window{3600000}; ///< for which lost nodes count against a majority
-    /// After a start or a pause, for which a node neither grants nor vouches for others: over the time in which every
-    /// node that is not cut off from the majority learns of a new map.
+    /// After a start or a pause, for which a node neither grants nor vouches for others: over the time in
+    /// which every node that is not cut off from the majority learns of a new map.
     milliseconds fence_time{10000};
-    milliseconds transfer_period{500};     ///< between tries to hand a shard to its new backup
+    milliseconds transfer_period{500}; ///< between tries to hand a shard to its new backup
     std::size_t max_records = 40'000;
     std::size_t max_answer_bytes = 4096; ///< a longer answer is not kept
     std::size_t max_all_answer_bytes = 4'000'000;
@@ -85,6 +85,7 @@
     std::map<std::string, ledger_record> records;
     std::map<std::uint64_t, pending_grant> grants; ///< by sequence
     std::uint64_t next_sequence = 1;
+    std::uint64_t partner_life = 0;      ///< of the backup's process, as it last named it
     std::uint64_t transfer_sequence = 0; ///< whose acknowledgement makes the shard ready
     std::uint64_t transfer_expected = 0; ///< the next part that a backup expects, or 0
     time_point next_transfer;
@@ -95,7 +96,11 @@
     ledger_policy policy;
     ledger_map map;
     std::map<std::uint32_t, ledger_shard> shards;
-    bool fenced = false; ///< after a start or a pause, until the fence time is over and a peer confirms the map
+    /// Tells this process from others under its name: a transfer that was meant for an earlier one, and comes
+    /// late, lacks what was granted since.
+    std::uint64_t life = 0;
+    bool fenced =
+        false; ///< after a start or a pause, until the fence time is over and a peer confirms the map
     time_point fenced_since;
     std::size_t answer_bytes = 0;
     std::size_t record_count = 0;
@@ -105,8 +110,8 @@
 /// is granted. A primary that lacks its predecessors' records doubts every key made before.
 void adopt_ledger_map(ledger& state, const ledger_map& map, member_id self, time_point now, wall_ms wall_now);
 
-/// Stops granting and vouching until `confirm_owner` ends it. For a process that starts, which may have forgotten
-/// that it refused an older epoch, and for one that finds that it was paused.
+/// Stops granting and vouching until `confirm_owner` ends it. For a process that starts, which may have
+/// forgotten that it refused an older epoch, and for one that finds that it was paused.
 void fence_owner(ledger& state, time_point now);
 
 /// Ends the fence, if a peer that answered a probe sent after the fence time knows no newer map.
--- a/include/waxwingfall/link/http.h
+++ b/include/waxwingfall/link/http.h
@@ -88,6 +88,10 @@
 /// Closes the connection of a request without an answer to it.
 void drop_connection(evhttp_request* request);
 
+/// True if the other side has closed a connection. The library does not look for that while a request is
+/// being worked on.
+bool is_closed_by_peer(evhttp_connection* connection);
+
 /// The name of a method, for example "GET".
 std::string_view method_name(evhttp_cmd_type method);
 
--- a/include/waxwingfall/standin/worker_service.h
+++ b/include/waxwingfall/standin/worker_service.h
@@ -46,6 +46,7 @@
     void stream(std::uint64_t number, std::uint64_t left);
     void note(const std::string& id, const std::string& what);
     void drop_closed(evhttp_connection* connection);
+    void sweep();
 
     const event_loop& loop_;
     worker_options options_;
@@ -57,6 +58,7 @@
     std::uint64_t cut_short_ = 0; ///< answers that are still to be cut after half of their body
     std::ofstream run_log_;
     http_server server_;
+    loop_event sweep_;
 };
 
 } // namespace waxwingfall::standin
--- a/lib/call/ledger.cpp
+++ b/lib/call/ledger.cpp
@@ -69,6 +69,7 @@
     replicate.set_epoch(shard.owners.epoch);
     replicate.set_sequence(shard.next_sequence++);
     replicate.set_amnesia_before_ms(shard.amnesia_before);
+    replicate.set_life(shard.partner_life);
     return message;
 }
 
@@ -146,6 +147,7 @@
     shard.owners = owners;
     shard.is_primary = owners.primary == self;
     shard.ready = false;
+    shard.partner_life = 0;
     shard.grants.clear();
     shard.next_transfer = now;
     if (!owned) {
@@ -163,8 +165,8 @@
 }
 
 /// Follows the parts of a transfer; the shard is complete once the last part has come and none is missing.
-void note_transfer(ledger_shard& shard, const wire::replicate& message) {
-    if (message.transfer_first() == 0) {
+void note_transfer(const ledger& state, ledger_shard& shard, const wire::replicate& message) {
+    if (message.transfer_first() == 0 || message.life() != state.life) {
         return;
     }
     const bool in_order =
@@ -266,6 +268,7 @@
     answer.set_shard(message.shard());
     answer.set_epoch(message.epoch());
     answer.set_sequence(message.sequence());
+    answer.set_life(state.life);
     const bool outdated = message.epoch() < shard.owners.epoch;
     const bool own_shard = message.epoch() == shard.owners.epoch && shard.is_primary;
     if (outdated || own_shard || state.fenced) {
@@ -288,7 +291,7 @@
         }
     }
     shard.amnesia_before = std::max(shard.amnesia_before, message.amnesia_before_ms());
-    note_transfer(shard, message);
+    note_transfer(state, shard, message);
     answer.set_incomplete(!shard.complete);
     return {reply};
 }
@@ -302,14 +305,16 @@
     if (!shard.is_primary) {
         return {};
     }
-    if (message.sequence() == shard.transfer_sequence) {
-        shard.ready = true;
-        return {};
-    }
+    const bool is_new_life = message.life() != shard.partner_life;
+    shard.partner_life = message.life();
     if (message.incomplete()) {
-        // The backup was replaced by an empty process under the same name; it needs the whole shard first.
-        // The claim itself is recorded on both, so it may be granted.
+        // The backup's process holds less than the shard, and needs all of it. A claim that it has recorded
+        // stands on both, so it may be granted.
         shard.ready = false;
+        shard.next_transfer = is_new_life ? time_point{} : shard.next_transfer;
+    } else if (message.sequence() == shard.transfer_sequence) {
+        shard.ready = true;
+        return {};
     }
     const auto grant = shard.grants.find(message.sequence());
     if (grant == shard.grants.end()) {
--- a/lib/link/http.cpp
+++ b/lib/link/http.cpp
@@ -3,8 +3,10 @@
 #include <stdexcept>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <sys/socket.h>
 
 namespace waxwingfall {
 
@@ -159,6 +161,12 @@
     evhttp_connection_free(evhttp_request_get_connection(request));
 }
 
+bool is_closed_by_peer(evhttp_connection* connection) {
+    char byte = 0;
+    return recv(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 std::string_view method_name(evhttp_cmd_type method) {
     switch (method) {
     case EVHTTP_REQ_GET:
--- a/lib/link/message_link.cpp
+++ b/lib/link/message_link.cpp
@@ -12,7 +12,7 @@
 constexpr int reconnect_first_ms = 100;
 constexpr int reconnect_limit_ms = 2000;
 constexpr int frames_per_wake = 512;
-constexpr milliseconds poll_period{20};
+constexpr milliseconds poll_period{100};
 
 template <typename Socket> void set_common_options(Socket& socket) {
     socket.set(zmq::sockopt::linger, 0);
--- a/lib/machine/downstream.cpp
+++ b/lib/machine/downstream.cpp
@@ -6,7 +6,6 @@
 
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
-#include <sys/socket.h>
 
 namespace waxwingfall {
 
@@ -106,11 +105,7 @@
     if (gone_ || request_ == nullptr) {
         return true;
     }
-    // The library does not look for the end of a connection while a request is being worked on.
-    const int descriptor =
-        bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_)));
-    char byte = 0;
-    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    return is_closed_by_peer(evhttp_request_get_connection(request_));
 }
 
 bool same_header(std::string_view left, std::string_view right) {
--- a/lib/machine/node_context.cpp
+++ b/lib/machine/node_context.cpp
@@ -37,6 +37,7 @@
     : loop(event_loop), settings(node_settings), log(events), random(seed),
       control(start_zone(node_settings.zone, node_settings.environment, self_record(node_settings),
                          node_settings.peers, contract_rules(), monotonic_now())) {
+    records.life = random() | 1U;
     routing.policy = settings.routing;
     routing.data_centre = settings.data_centre;
     routing.region = settings.region;
