Split large files, move the call path's decisions to where they are pure, and test them

Behaviour is unchanged. New properties for admission and the retry budget, and tests for routing, quarantine and outcomes.

--- a/include/waxwingfall/machine/call_proxy.h
+++ b/include/waxwingfall/machine/call_proxy.h
@@ -43,7 +43,6 @@
     void on_end(std::uint64_t id, upstream_end end);
     void on_refused(std::uint64_t id);
     void finish(std::uint64_t id);
-    static outcome outcome_of(const call& failed, error_kind kind);
     void fail(std::uint64_t id, error_kind kind);
     void replay(std::uint64_t id, const ledger_record& record);
     void settle(call& settled, std::uint32_t state);
--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "waxwingfall/call/call_decisions.h"
 #include "waxwingfall/contract/snapshot.h"
 
 namespace waxwingfall {
@@ -34,29 +35,6 @@
     return error_kind::overloaded;
 }
 
-error_kind kind_of(claim_verdict verdict) {
-    switch (verdict) {
-    case claim_verdict::running:
-        return error_kind::request_in_progress;
-    case claim_verdict::key_reused:
-        return error_kind::idempotency_key_reused;
-    case claim_verdict::expired:
-        return error_kind::key_expired;
-    case claim_verdict::unknown:
-    case claim_verdict::doubtful:
-        return error_kind::outcome_unknown;
-    default:
-        return error_kind::ledger_unavailable;
-    }
-}
-
-/// True if another try at another worker could end better. Work that was refused for the request's own sake
-/// is not.
-bool is_worth_a_retry(error_kind kind) {
-    return kind == error_kind::overloaded || kind == error_kind::leaving ||
-           kind == error_kind::worker_unreachable || kind == error_kind::no_endpoint;
-}
-
 } // namespace
 
 struct call_proxy::call {
@@ -206,7 +184,7 @@
         } else if (result.verdict == claim_verdict::done) {
             replay(id, result.existing);
         } else {
-            fail(id, kind_of(result.verdict));
+            fail(id, refusal_of(result.verdict));
         }
     }
 }
@@ -356,8 +334,9 @@
 }
 
 bool call_proxy::may_retry(call& failed, time_point now) {
-    if (failed.tried.size() >= failed.service->max_attempts || now >= failed.deadline ||
-        failed.inside_retry) {
+    const retry_question question{failed.tried.size(), failed.service->max_attempts, failed.inside_retry,
+                                  failed.deadline};
+    if (!may_try_again(question, now)) {
         return false;
     }
     if (!node_.settings.retry_budget || spend_retry(budgets_[failed.service->name])) {
@@ -395,19 +374,10 @@
     remove(id);
 }
 
-outcome call_proxy::outcome_of(const call& failed, error_kind kind) {
-    const outcome result = answer_of(kind).result;
-    const bool proves_itself =
-        kind == error_kind::idempotency_key_reused || kind == error_kind::bad_idempotency_key;
-    // Without a grant nobody here knows whether an earlier sending under the same key ran.
-    const bool may_have_run_before = failed.has_key && !failed.was_granted && !proves_itself;
-    return result == outcome::not_run && may_have_run_before ? outcome::unknown : result;
-}
-
 void call_proxy::fail(std::uint64_t id, error_kind kind) {
     call& failed = *calls_.at(id);
     const error_answer& row = answer_of(kind);
-    const outcome result = outcome_of(failed, kind);
+    const outcome result = outcome_of(kind, failed.has_key, failed.was_granted);
     settle(failed, row.result == outcome::not_run ? released_state
                                                   : static_cast<std::uint32_t>(record_state::unknown));
     node_.counts.not_run += result == outcome::not_run ? 1 : 0;
--- a/lib/zone/membership.cpp
+++ b/lib/zone/membership.cpp
@@ -4,6 +4,7 @@
 #include <cassert>
 #include <set>
 
+#include "membership_internal.h"
 #include "waxwingfall/support/digest.h"
 
 namespace waxwingfall {
@@ -17,10 +18,6 @@
     return mix_hash(value.id, value.incarnation * 4 + static_cast<std::uint64_t>(value.state));
 }
 
-bool takes_messages(const member& value) {
-    return value.state != member_state::dead;
-}
-
 /// Puts a record into the table and keeps the hash in step.
 void store(membership& state, const member& record, time_point now) {
     const auto known = state.members.find(record.id);
@@ -32,38 +29,6 @@
     state.state_since[record.id] = now;
 }
 
-void append(std::vector<outgoing>& to, std::vector<outgoing> more) {
-    std::move(more.begin(), more.end(), std::back_inserter(to));
-}
-
-void append(membership_effects& to, membership_effects more) {
-    append(to.messages, std::move(more.messages));
-    std::move(more.changes.begin(), more.changes.end(), std::back_inserter(to.changes));
-}
-
-/// Messages that carry `records` to this node's fingers, and across data centres if they arose in this one.
-std::vector<outgoing> pass_on(const membership& state, const std::vector<member>& records,
-                              const std::string& from_data_centre) {
-    if (records.empty()) {
-        return {};
-    }
-    wire::frame frame;
-    for (const member& record : records) {
-        *frame.mutable_rumour()->add_members() = to_wire(record);
-    }
-    std::vector<member_id> targets = fingers(state);
-    if (from_data_centre == state.self.data_centre && own_bridge_rank(state)) {
-        const auto remote = remote_bridges(state);
-        targets.insert(targets.end(), remote.begin(), remote.end());
-    }
-    std::vector<outgoing> messages;
-    messages.reserve(targets.size());
-    for (const member_id target : targets) {
-        messages.push_back({state.members.at(target).control_address, frame});
-    }
-    return messages;
-}
-
 /// Raises the own incarnation above a false or outdated record of this node.
 void refute(membership& state, const member& heard, time_point now) {
     state.self.incarnation = heard.incarnation + 1;
@@ -189,25 +154,6 @@
     std::erase_if(state.state_since, [&](const auto& entry) { return !state.members.contains(entry.first); });
 }
 
-membership_effects try_to_join(membership& state, time_point now, random_source& random) {
-    membership_effects effects;
-    if (state.joined || state.contacts.empty() || now < state.next_join) {
-        return effects;
-    }
-    const std::uint32_t doublings = std::min(state.join_attempts++, 10U);
-    const milliseconds wait =
-        std::min(state.policy.join_backoff_base * (1U << doublings), state.policy.join_backoff_limit);
-    state.next_join = now + jittered(wait, random);
-    wire::frame frame;
-    *frame.mutable_join()->mutable_self() = to_wire(state.self);
-    constexpr std::size_t contacts_at_once = 2;
-    std::shuffle(state.contacts.begin(), state.contacts.end(), random);
-    for (std::size_t index = 0; index < std::min(contacts_at_once, state.contacts.size()); ++index) {
-        effects.messages.push_back({state.contacts[index], frame});
-    }
-    return effects;
-}
-
 /// After a pause of this process, answers have waited unread and say nothing about the others: probes start
 /// anew and suspicions get their whole time again.
 void forgive_after_pause(membership& state, time_point now) {
@@ -224,20 +170,39 @@
     }
 }
 
-bool take_join_token(membership& state, time_point now) {
-    join_allowance& joins = state.joins;
-    const double refill =
-        static_cast<double>(elapsed_ms(joins.refilled, now)) * state.policy.joins_per_second / 1000.0;
-    joins.tokens = std::min(static_cast<double>(state.policy.join_burst), joins.tokens + refill);
-    joins.refilled = now;
-    if (joins.tokens < 1.0) {
-        return false;
-    }
-    joins.tokens -= 1.0;
-    return true;
+} // namespace
+
+void append(std::vector<outgoing>& to, std::vector<outgoing> more) {
+    std::move(more.begin(), more.end(), std::back_inserter(to));
 }
 
-} // namespace
+void append(membership_effects& to, membership_effects more) {
+    append(to.messages, std::move(more.messages));
+    std::move(more.changes.begin(), more.changes.end(), std::back_inserter(to.changes));
+}
+
+/// Messages that carry `records` to this node's fingers, and across data centres if they arose in this one.
+std::vector<outgoing> pass_on(const membership& state, const std::vector<member>& records,
+                              const std::string& from_data_centre) {
+    if (records.empty()) {
+        return {};
+    }
+    wire::frame frame;
+    for (const member& record : records) {
+        *frame.mutable_rumour()->add_members() = to_wire(record);
+    }
+    std::vector<member_id> targets = fingers(state);
+    if (from_data_centre == state.self.data_centre && own_bridge_rank(state)) {
+        const auto remote = remote_bridges(state);
+        targets.insert(targets.end(), remote.begin(), remote.end());
+    }
+    std::vector<outgoing> messages;
+    messages.reserve(targets.size());
+    for (const member_id target : targets) {
+        messages.push_back({state.members.at(target).control_address, frame});
+    }
+    return messages;
+}
 
 membership start_membership(const membership_policy& policy, const member& self,
                             const std::vector<std::string>& contacts, time_point now) {
@@ -293,16 +258,6 @@
     return {pass_on(state, {state.self}, state.self.data_centre), {}};
 }
 
-void add_contacts(membership& state, const std::vector<std::string>& addresses) {
-    for (const std::string& address : addresses) {
-        const bool known =
-            std::find(state.contacts.begin(), state.contacts.end(), address) != state.contacts.end();
-        if (!known && address != state.self.control_address) {
-            state.contacts.push_back(address);
-        }
-    }
-}
-
 membership_effects tick_membership(membership& state, time_point now, random_source& random) {
     forgive_after_pause(state, now);
     membership_effects effects = try_to_join(state, now, random);
@@ -339,129 +294,6 @@
     return effects;
 }
 
-membership_effects compare_tables(membership& state, std::uint64_t peer_hash, const std::string& peer_address,
-                                  time_point now, random_source& random) {
-    membership_effects effects;
-    if (peer_hash == state.table_hash) {
-        return effects;
-    }
-    // Tables differ for a moment whenever news is on its way; the first difference only starts the wait.
-    const auto [last, first_seen] = state.last_sync.emplace(peer_address, now);
-    if (first_seen || now - last->second < jittered(state.policy.sync_spacing, random)) {
-        return effects;
-    }
-    state.last_sync.erase(last);
-    wire::frame frame;
-    for (const auto& [id, record] : state.members) {
-        wire::member_stamp& stamp = *frame.mutable_sync_request()->add_stamps();
-        stamp.set_id(id);
-        stamp.set_incarnation(record.incarnation);
-        stamp.set_state(static_cast<std::uint32_t>(record.state));
-    }
-    effects.messages.push_back({peer_address, frame});
-    return effects;
-}
-
-membership_effects handle_sync_request(membership& state, const wire::sync_request& request,
-                                       const std::string& reply_to) {
-    wire::frame frame;
-    wire::sync_answer& answer = *frame.mutable_sync_answer();
-    std::set<member_id> named;
-    for (const wire::member_stamp& stamp : request.stamps()) {
-        named.insert(stamp.id());
-        const auto known = state.members.find(stamp.id());
-        if (known == state.members.end()) {
-            if (stamp.state() != static_cast<std::uint32_t>(member_state::dead)) {
-                answer.add_wanted(stamp.id());
-            }
-            continue;
-        }
-        const auto own =
-            std::pair(known->second.incarnation, static_cast<std::uint32_t>(known->second.state));
-        const auto theirs = std::pair(stamp.incarnation(), stamp.state());
-        if (own > theirs) {
-            *answer.add_members() = to_wire(known->second);
-        } else if (theirs > own) {
-            answer.add_wanted(stamp.id());
-        }
-    }
-    for (const auto& [id, record] : state.members) {
-        if (!named.contains(id) && takes_messages(record)) {
-            *answer.add_members() = to_wire(record);
-        }
-    }
-    return {{{reply_to, frame}}, {}};
-}
-
-membership_effects handle_sync_answer(membership& state, const wire::sync_answer& answer,
-                                      const std::string& reply_to, const std::string& from_data_centre,
-                                      time_point now) {
-    std::vector<member> records;
-    for (const wire::member& record : answer.members()) {
-        records.push_back(from_wire(record));
-    }
-    membership_effects effects = merge_members(state, records, from_data_centre, now);
-    wire::frame frame;
-    for (const member_id id : answer.wanted()) {
-        const auto known = state.members.find(id);
-        if (known != state.members.end()) {
-            *frame.mutable_rumour()->add_members() = to_wire(known->second);
-        }
-    }
-    if (frame.has_rumour()) {
-        effects.messages.push_back({reply_to, frame});
-    }
-    return effects;
-}
-
-membership_effects handle_join(membership& state, const member& joiner, const std::string& reply_to,
-                               time_point now, random_source& random) {
-    wire::frame frame;
-    wire::join_answer& answer = *frame.mutable_join_answer();
-    const bool admitted = take_join_token(state, now);
-    answer.set_admitted(admitted);
-    if (!admitted) {
-        constexpr std::size_t alternatives = 4;
-        auto others = reachable_in(state, state.self.data_centre);
-        std::shuffle(others.begin(), others.end(), random);
-        for (std::size_t index = 0; index < std::min(alternatives, others.size()); ++index) {
-            *answer.add_members() = to_wire(state.members.at(others[index]));
-        }
-        return {{{reply_to, frame}}, {}};
-    }
-    // The joiner's own former record is sent back, so that it rises above it.
-    for (const auto& [id, record] : state.members) {
-        if (takes_messages(record) || id == joiner.id) {
-            *answer.add_members() = to_wire(record);
-        }
-    }
-    membership_effects effects = merge_members(state, {joiner}, joiner.data_centre, now);
-    effects.messages.push_back({reply_to, frame});
-    return effects;
-}
-
-membership_effects handle_join_answer(membership& state, const wire::join_answer& answer,
-                                      const std::string& from_data_centre, time_point now) {
-    std::vector<member> records;
-    std::vector<std::string> addresses;
-    for (const wire::member& record : answer.members()) {
-        records.push_back(from_wire(record));
-        addresses.push_back(record.control_address());
-    }
-    if (!answer.admitted()) {
-        add_contacts(state, addresses);
-        return {};
-    }
-    const bool first = !state.joined;
-    state.joined = true;
-    membership_effects effects = merge_members(state, records, from_data_centre, now);
-    if (first) {
-        // The table is now known, so the own record can reach the ring without waiting for a probe.
-        effects.messages = pass_on(state, {state.self}, state.self.data_centre);
-    }
-    return effects;
-}
-
 std::vector<member_id> reachable_in(const membership& state, const std::string& data_centre) {
     std::vector<member_id> found;
     for (const auto& [id, record] : state.members) {
--- /dev/null
+++ b/unittests/call/policy_test.cpp
@@ -0,0 +1,192 @@
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "waxwingfall/call/admission.h"
+#include "waxwingfall/call/call_decisions.h"
+#include "waxwingfall/call/quarantine.h"
+#include "waxwingfall/call/routing.h"
+#include "waxwingfall/support/digest.h"
+
+using namespace waxwingfall;
+
+namespace {
+
+constexpr time_point start{};
+
+member worker(int number, const std::string& data_centre, member_state state = member_state::alive) {
+    member made;
+    made.id = static_cast<member_id>(number);
+    made.data_centre = data_centre;
+    made.region = "r";
+    made.service = "s";
+    made.inbound_address = "a" + std::to_string(number);
+    made.slots = 4;
+    made.state = state;
+    return made;
+}
+
+routing_table table_of(const std::vector<member>& workers) {
+    routing_table table;
+    table.data_centre = "here";
+    table.region = "r";
+    for (const member& each : workers) {
+        update_endpoint(table, each, start);
+    }
+    return table;
+}
+
+} // namespace
+
+TEST(Routing, StaysInItsDataCentreUntilThatIsSaturated) {
+    routing_table table = table_of({worker(1, "here"), worker(2, "there")});
+    random_source random(1);
+    const time_point warm = start + milliseconds(20'000);
+    for (int index = 0; index < 50; ++index) {
+        EXPECT_EQ(pick_endpoint(table, "s", {}, warm, random), member_id{1});
+    }
+    for (int index = 0; index < 4; ++index) {
+        begin_try(table, "s", 1);
+    }
+    EXPECT_EQ(pick_endpoint(table, "s", {1}, warm, random), member_id{2});
+    std::set<member_id> picked;
+    for (int index = 0; index < 50; ++index) {
+        picked.insert(*pick_endpoint(table, "s", {}, warm, random));
+    }
+    EXPECT_TRUE(picked.contains(2));
+}
+
+TEST(Routing, WorkersThatLeaveDieOrTakeNothingAreNotPicked) {
+    routing_table table = table_of({worker(1, "here")});
+    random_source random(1);
+    update_endpoint(table, worker(1, "here", member_state::leaving), start);
+    EXPECT_EQ(pick_endpoint(table, "s", {}, start, random), std::nullopt);
+    member drained = worker(1, "here");
+    drained.slots = 0;
+    update_endpoint(table, drained, start);
+    EXPECT_EQ(pick_endpoint(table, "s", {}, start, random), std::nullopt);
+    EXPECT_EQ(pick_endpoint(table, "other", {}, start, random), std::nullopt);
+}
+
+TEST(Routing, FailuresEjectOneButNeverEmptyAService) {
+    routing_table table = table_of({worker(1, "here"), worker(2, "here")});
+    random_source random(1);
+    const auto fail = [&](member_id id) {
+        for (std::uint32_t count = 0; count < table.policy.failures_to_eject; ++count) {
+            begin_try(table, "s", id);
+            end_try(table, "s", id, try_result::failed, {}, start);
+        }
+    };
+    fail(1);
+    for (int index = 0; index < 30; ++index) {
+        EXPECT_EQ(pick_endpoint(table, "s", {}, start + milliseconds(1), random), member_id{2});
+    }
+    fail(2);
+    EXPECT_TRUE(pick_endpoint(table, "s", {}, start + milliseconds(1), random).has_value());
+}
+
+TEST(Routing, AColdWorkerGetsLessThanAWarmOne) {
+    routing_table table = table_of({worker(1, "here")});
+    const time_point later = start + milliseconds(20'000);
+    update_endpoint(table, worker(2, "here"), later);
+    begin_try(table, "s", 1);
+    begin_try(table, "s", 2);
+    random_source random(1);
+    int cold = 0;
+    for (int index = 0; index < 400; ++index) {
+        cold += pick_endpoint(table, "s", {}, later, random) == member_id{2} ? 1 : 0;
+    }
+    EXPECT_LT(cold, 150);
+}
+
+RC_GTEST_PROP(Retries, NeverExceedTheirBudget, ()) {
+    retry_budget budget;
+    const auto percent = *rc::gen::inRange(0U, 100U);
+    const int calls = *rc::gen::inRange(0, 2000);
+    int retries = 0;
+    for (int call = 0; call < calls; ++call) {
+        earn_retry(budget, percent);
+        retries += *rc::gen::arbitrary<bool>() && spend_retry(budget) ? 1 : 0;
+    }
+    RC_ASSERT(retries <= 10 + calls * static_cast<int>(percent) / 100 + 1);
+}
+
+RC_GTEST_PROP(Admission, KeepsToSlotsAndQueueAndLosesNoRequest, ()) {
+    admission state;
+    state.slots = *rc::gen::inRange(1U, 5U);
+    state.queue_limit = *rc::gen::inRange(0U, 6U);
+    time_point now = start;
+    std::set<std::uint64_t> running;
+    std::set<std::uint64_t> waiting;
+    std::uint64_t next = 1;
+    const auto take = [&](const admission_turn& turn) {
+        for (const std::uint64_t id : turn.expired) {
+            RC_ASSERT(waiting.erase(id) == 1);
+        }
+        for (const std::uint64_t id : turn.run) {
+            RC_ASSERT(waiting.erase(id) == 1);
+            running.insert(id);
+        }
+    };
+    const int steps = *rc::gen::inRange(0, 200);
+    for (int step = 0; step < steps; ++step) {
+        now += milliseconds(*rc::gen::inRange(0, 30));
+        const int kind = *rc::gen::inRange(0, 4);
+        if (kind <= 1) {
+            const waiting_request arrived{next++, now + milliseconds(*rc::gen::inRange(0, 200))};
+            const auto verdict = admit(state, arrived, now);
+            if (verdict == admission_verdict::run) {
+                running.insert(arrived.id);
+            } else if (verdict == admission_verdict::wait) {
+                waiting.insert(arrived.id);
+            }
+        } else if (kind == 2 && !running.empty()) {
+            running.erase(running.begin());
+            take(release_slot(state, milliseconds(*rc::gen::inRange(1, 50)), now));
+        } else {
+            take(review_queue(state, now));
+        }
+        RC_ASSERT(running.size() == state.running);
+        RC_ASSERT(running.size() <= state.slots);
+        RC_ASSERT(waiting.size() == state.waiting.size());
+        RC_ASSERT(waiting.size() <= state.queue_limit);
+    }
+}
+
+TEST(Admission, RefusesWhatLeavesOrComesTooLate) {
+    admission state;
+    EXPECT_EQ(admit(state, {1, start}, start), admission_verdict::refuse_deadline);
+    state.leaving = true;
+    EXPECT_EQ(admit(state, {2, start + milliseconds(10)}, start), admission_verdict::refuse_leaving);
+    EXPECT_EQ(state.running, 0U);
+}
+
+TEST(Quarantine, NeedsTwoWorkersAndEnds) {
+    quarantine state;
+    EXPECT_TRUE(note_crash(state, "f", 1, start));
+    EXPECT_FALSE(note_crash(state, "f", 1, start));
+    EXPECT_FALSE(is_quarantined(state, "f", start));
+    EXPECT_TRUE(note_crash(state, "f", 2, start));
+    EXPECT_TRUE(is_quarantined(state, "f", start));
+    EXPECT_FALSE(is_quarantined(state, "innocent", start));
+    EXPECT_FALSE(is_quarantined(state, "f", start + state.policy.memory + milliseconds(1)));
+}
+
+TEST(Outcomes, AKeyedRequestIsNotRunOnlyIfItsHomeSaidSo) {
+    EXPECT_EQ(outcome_of(error_kind::overloaded, true, true), outcome::not_run);
+    EXPECT_EQ(outcome_of(error_kind::overloaded, true, false), outcome::unknown);
+    EXPECT_EQ(outcome_of(error_kind::overloaded, false, false), outcome::not_run);
+    EXPECT_EQ(outcome_of(error_kind::ledger_unavailable, true, false), outcome::unknown);
+    EXPECT_EQ(outcome_of(error_kind::idempotency_key_reused, true, false), outcome::not_run);
+}
+
+TEST(Retries, ACallInsideARetryIsNotTriedAgain) {
+    const time_point later = start + milliseconds(1);
+    EXPECT_TRUE(may_try_again({1, 3, false, later}, start));
+    EXPECT_FALSE(may_try_again({1, 3, true, later}, start));
+    EXPECT_FALSE(may_try_again({3, 3, false, later}, start));
+    EXPECT_FALSE(may_try_again({1, 3, false, start}, start));
+}
--- a/unittests/processes/test_calls.py
+++ b/unittests/processes/test_calls.py
@@ -12,9 +12,8 @@
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "utils"))
-from mesh import ROOT, finish_load, http as request, svecu_mesh, wait_for  # noqa: E402
+from mesh import finish_load, http as request, ready_svecu_mesh, wait_for  # noqa: E402
 
-EXAMPLE = ROOT / "examples" / "svecu-serviss.yaml"
 HOST = {"Host": "rezervacijas.example"}
 RSS_LIMIT_MB = 32
 
@@ -45,14 +44,8 @@
 class Calls(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
-        cls.mesh = svecu_mesh()
+        cls.mesh = ready_svecu_mesh()
         cls.addClassCleanup(cls.mesh.stop)
-        cls.mesh.start()
-        cls.mesh.wait_members(cls.mesh.nodes, 9)
-        cls.mesh.ctl("apply", EXAMPLE, "--environment", "production")
-        cls.mesh.wait_version(cls.mesh.nodes, 1)
-        cls.mesh.wait_ledger(cls.mesh.nodes, 3)
-        time.sleep(6)
 
     def runs(self, request_id):
         return sum(line.split() == [request_id, "started"] for path in self.mesh.run_logs()
@@ -215,14 +208,8 @@
 
 class Failures(unittest.TestCase):
     def setUp(self):
-        self.mesh = svecu_mesh()
+        self.mesh = ready_svecu_mesh()
         self.addCleanup(self.mesh.stop)
-        self.mesh.start()
-        self.mesh.wait_members(self.mesh.nodes, 9)
-        self.mesh.ctl("apply", EXAMPLE, "--environment", "production")
-        self.mesh.wait_version(self.mesh.nodes, 1)
-        self.mesh.wait_ledger(self.mesh.nodes, 3)
-        time.sleep(6)
 
     def check_report(self, load):
         code, report = finish_load(load)
--- a/utils/mesh.py
+++ b/utils/mesh.py
@@ -294,3 +294,15 @@
         mesh.add(name, data_centre, service, **options)
     mesh.share_hints()
     return mesh
+
+
+def ready_svecu_mesh():
+    """The deployment with the example enforced and the ledger granting keys that are made from now on."""
+    mesh = svecu_mesh()
+    mesh.start()
+    mesh.wait_members(mesh.nodes, 9)
+    mesh.ctl("apply", ROOT / "examples" / "svecu-serviss.yaml", "--environment", "production")
+    mesh.wait_version(mesh.nodes, 1)
+    mesh.wait_ledger(mesh.nodes, 3)
+    time.sleep(6)  # the data centres' first keys have a home
+    return mesh
