--- /dev/null
+++ b/unittests/machine/settings_test.cpp
@@ -0,0 +1,49 @@
+#include <string>
+#include <vector>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <gtest/gtest.h>
+
+#include "waxwingfall/machine/settings.h"
+
+using namespace waxwingfall;
+
+namespace {
+
+const std::string good =
+    "node: {name: n, data_centre: d, region: r, environment: e}\n"
+    "listen: {calls: 127.0.0.1:1, inbound: 127.0.0.1:2, control: 127.0.0.1:3, admin: 127.0.0.1:4}\n"
+    "worker: {service: s, address: 127.0.0.1:5, slots: 12}\n"
+    "platform: 127.0.0.1:6\n";
+
+std::vector<std::string> faults_of(const std::string& text) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::vector<std::string>> {
+            BOOST_LEAF_CHECK(parse_settings(text, "n.yaml"));
+            return std::vector<std::string>{};
+        },
+        [](const fault_list& list) {
+            std::vector<std::string> texts;
+            for (const fault& found : list.faults) {
+                texts.push_back(to_string(found));
+            }
+            return texts;
+        },
+        [] { return std::vector<std::string>{"?"}; });
+}
+
+} // namespace
+
+TEST(Settings, AcceptsTheSmallest) {
+    EXPECT_EQ(faults_of(good), std::vector<std::string>{});
+}
+
+TEST(Settings, NamesFileLineAndKey) {
+    EXPECT_EQ(
+        faults_of(good + "limits: {max_body_bytes: 1}\n"),
+        std::vector<std::string>{"n.yaml:5:26: out-of-range: 'max_body_bytes' must be from 1024 to 8388608"});
+    EXPECT_EQ(faults_of(good + "peer: []\n").size(), 1U);
+    EXPECT_EQ(faults_of(good + "peers: [localhost:1]\n").size(), 1U);
+    EXPECT_EQ(faults_of(good + "policy: {prefer: speed}\n").size(), 1U);
+    EXPECT_EQ(faults_of("node: {}\n").size(), 7U);
+}
