An owner that missed an epoch is not complete from before

Cause, found by reading the change again: a node that was backup in one epoch, was replaced in the next without learning of it, and is backup once more in the third kept its mark of completeness; promoted before its transfer came, it granted a key that the second epoch had granted. Before: Ledger.AnOwnerThatMissedAnEpochIsNotCompleteFromBefore sees 2 runs of one key; after: 1. Completeness now belongs to an epoch, which is the general rule; the price is amnesia where an owner skipped a map.

Also: deliver_all replaces seven copies of a loop in the tests, last_heard was written and never read and is gone, and a comment in handle_claim said the opposite of its code.

--- a/include/waxwingfall/zone/membership.h
+++ b/include/waxwingfall/zone/membership.h
@@ -77,8 +77,7 @@
     std::vector<std::string> contacts; ///< control addresses to join at
     std::uint32_t join_attempts = 0;
     time_point next_join;
-    std::uint64_t name_conflicts = 0;           ///< records of this node's name with another address
-    std::map<member_id, time_point> last_heard; ///< of bridges of other data centres
+    std::uint64_t name_conflicts = 0; ///< records of this node's name with another address
 };
 
 /// The state of a node that starts at `now` with the given record and addresses of possible peers.
@@ -102,7 +101,7 @@
 
 /// Notes the answer to a probe. An answer that came after all refutes nothing by itself: the suspected node
 /// does.
-void handle_ack(membership& state, std::uint64_t sequence, member_id from, time_point now);
+void handle_ack(membership& state, std::uint64_t sequence, member_id from);
 
 /// Probes a node on behalf of another one.
 membership_effects handle_probe_request(membership& state, const wire::probe_request& request,
--- a/lib/call/ledger.cpp
+++ b/lib/call/ledger.cpp
@@ -144,8 +144,15 @@
     if (shard.owners.epoch > owners.epoch || shard.owners == owners) {
         return;
     }
-    shard.owners = owners;
+    const bool is_new_epoch = owners.epoch > shard.owners.epoch;
+    const bool missed_an_epoch = owners.epoch > shard.owners.epoch + 1;
     shard.is_primary = owners.primary == self;
+    if (missed_an_epoch || (is_new_epoch && !shard.is_primary)) {
+        // Other owners may have granted in an epoch between; and a backup is complete by its own epoch's
+        // transfer.
+        shard.complete = false;
+    }
+    shard.owners = owners;
     shard.ready = false;
     shard.partner_life = 0;
     shard.grants.clear();
@@ -238,8 +245,7 @@
     ledger_shard& shard = found->second;
     const auto known = shard.records.find(claim.key());
     if (known != shard.records.end()) {
-        // A claim that is still on its way to the backup must not be answered for another attempt yet: it may
-        // be given up, and then its request did not run.
+        // A claim that is still on its way to the backup counts as running: it may yet be granted.
         return {
             claim_answer(reply_to, claim.attempt(), verdict_on_record(known->second, claim), &known->second)};
     }
@@ -280,6 +286,7 @@
         // refused.
         shard.owners = {0, 0, message.epoch()};
         shard.is_primary = false;
+        shard.complete = false;
         shard.ready = false;
         shard.grants.clear();
     }
--- a/lib/zone/membership.cpp
+++ b/lib/zone/membership.cpp
@@ -275,13 +275,12 @@
     return effects;
 }
 
-void handle_ack(membership& state, std::uint64_t sequence, member_id from, time_point now) {
+void handle_ack(membership& state, std::uint64_t sequence, member_id from) {
     const auto waiting = state.probes.find(sequence);
     if (waiting == state.probes.end() || waiting->second.target != from) {
         return;
     }
     state.probes.erase(waiting);
-    state.last_heard[from] = now;
 }
 
 membership_effects handle_probe_request(membership& /*state*/, const wire::probe_request& request,
--- a/lib/zone/zone.cpp
+++ b/lib/zone/zone.cpp
@@ -122,7 +122,7 @@
 void handle_ack_frame(zone& state, const wire::frame& frame, const std::string& from, time_point now,
                       random_source& random, zone_effects& effects) {
     const wire::ack& ack = frame.ack();
-    handle_ack(state.nodes, ack.sequence(), frame.sender(), now);
+    handle_ack(state.nodes, ack.sequence(), frame.sender());
     learn_marks(state, ack.newest(), ack.ledger(), frame.reply_to(), from, now, effects);
     append(effects, compare_tables(state.nodes, ack.table_hash(), frame.reply_to(), now, random));
 }
--- a/unittests/call/fake_environment.h
+++ b/unittests/call/fake_environment.h
@@ -240,14 +240,19 @@
         send(number, std::move(effects.messages));
     }
 
+    /// Delivers every message, and those that follow from them, in order.
+    void deliver_all() {
+        while (!wire.empty()) {
+            deliver(0, false);
+        }
+    }
+
     /// Lets a new primary name its backup's process and hand its shard over, without loss and in no time.
     void hand_over(int number) {
         constexpr int rounds = 3;
         for (int round = 0; round < rounds; ++round) {
             tick(number);
-            while (!wire.empty()) {
-                deliver(0, false);
-            }
+            deliver_all();
         }
     }
 
@@ -260,9 +265,7 @@
             for (std::size_t number = 0; number < processes.size(); ++number) {
                 tick(static_cast<int>(number));
             }
-            while (!wire.empty()) {
-                deliver(0, false);
-            }
+            deliver_all();
             advance(milliseconds(100));
         }
     }
--- a/unittests/call/ledger_test.cpp
+++ b/unittests/call/ledger_test.cpp
@@ -132,9 +132,7 @@
     environment.claim(0, key);
     environment.advance(milliseconds(1100));
     environment.tick(0);
-    while (!environment.wire.empty()) {
-        environment.deliver(0, false);
-    }
+    environment.deliver_all();
     EXPECT_EQ(environment.runs[key.bytes], 0);
     EXPECT_FALSE(environment.ran_after_refusal);
     environment.settle_down();
@@ -155,9 +153,7 @@
     environment.hand_over(role.backup);
     environment.claim(role.primary, key);
     environment.claim(role.other, key);
-    while (!environment.wire.empty()) {
-        environment.deliver(0, false);
-    }
+    environment.deliver_all();
     EXPECT_EQ(environment.runs[key.bytes], 1);
 }
 
@@ -189,9 +185,7 @@
     std::erase_if(environment.wire, [&](const in_flight& each) {
         return each.message.frame.has_replicate() && !each.message.frame.replicate().transfer_complete();
     });
-    while (!environment.wire.empty()) {
-        environment.deliver(0, false);
-    }
+    environment.deliver_all();
     for (int observer = 0; observer < 5; ++observer) {
         environment.believe(observer, next.primary, member_state::dead);
     }
@@ -301,9 +295,7 @@
     // A caller of the woken primary sends the key again before any news has reached it.
     environment.map_changed = environment.now;
     environment.claim(role.primary, fresh);
-    while (!environment.wire.empty()) {
-        environment.deliver(0, false);
-    }
+    environment.deliver_all();
     EXPECT_EQ(environment.runs[fresh.bytes], 1);
 }
 
@@ -319,15 +311,42 @@
     environment.adopt(role.backup);
     environment.hand_over(role.backup);
     environment.claim(role.other, key);
-    while (!environment.wire.empty()) {
-        environment.deliver(0, false);
-    }
+    environment.deliver_all();
     ASSERT_EQ(environment.runs[key.bytes], 1);
     environment.restart_without_map(role.backup);
     environment.claim(role.primary, key);
-    while (!environment.wire.empty()) {
-        environment.deliver(0, false);
-    }
+    environment.deliver_all();
+    EXPECT_EQ(environment.runs[key.bytes], 1);
+}
+
+TEST(Ledger, AnOwnerThatMissedAnEpochIsNotCompleteFromBefore) {
+    fake_environment environment(3);
+    environment.settle_down();
+    const auto key = key_at(environment.wall(), 1);
+    const roles role = roles_of(environment, key);
+    // A second epoch without the backup, which does not learn of it, grants the key.
+    environment.believe(role.other, role.backup, member_state::dead);
+    environment.plan(role.other);
+    environment.adopt(role.primary);
+    environment.adopt(role.other);
+    environment.hand_over(role.primary);
+    environment.claim(role.primary, key);
+    environment.deliver_all();
+    ASSERT_EQ(environment.runs[key.bytes], 1);
+    // A third one has the backup again, and its transfer never comes; the fourth makes it primary.
+    environment.believe(role.primary, role.other, member_state::dead);
+    environment.plan(role.primary);
+    environment.adopt(role.primary);
+    environment.adopt(role.backup);
+    ASSERT_EQ(home_of(environment.map, key)->owners.backup, environment.at(role.backup).nodes.self.id);
+    environment.believe(role.backup, role.primary, member_state::dead);
+    environment.plan(role.backup);
+    environment.adopt(role.backup);
+    environment.adopt(role.other);
+    ASSERT_EQ(home_of(environment.map, key)->owners.primary, environment.at(role.backup).nodes.self.id);
+    environment.hand_over(role.backup);
+    environment.claim(role.backup, key);
+    environment.deliver_all();
     EXPECT_EQ(environment.runs[key.bytes], 1);
 }
 
