Tell of a crash before anybody retries, and ask again before each retry

Cause: the gate answered a broken request before its probe had shown whether the worker crashed, so the caller's node retried elsewhere while no node knew of the crash; and a call asked the quarantine once, at its start, not before each of its up to three tries. A probe that met the listening socket of an exiting process was taken for no finding at all. Ruled out: two tries of one call in flight at once (tries are sequential), the crash laid on another request (one request ran). Change: crash_watch (pure) holds the answer until a probe has decided; the answer names the crash, the caller's node notes it by itself, and may_try_again knows the quarantine. The bound of three stays.

--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -27,6 +27,7 @@
     std::uint32_t max_attempts = 1;
     bool inside_retry = false; ///< the call serves a call that is itself a retry
     time_point deadline;
+    bool quarantined = false; ///< the request has crashed too many workers, this call's tries included
     auto operator<=>(const retry_question&) const = default;
 };
 
--- a/include/waxwingfall/machine/worker_gate.h
+++ b/include/waxwingfall/machine/worker_gate.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "waxwingfall/call/admission.h"
+#include "waxwingfall/call/crash_watch.h"
 #include "waxwingfall/machine/call_headers.h"
 #include "waxwingfall/machine/downstream.h"
 #include "waxwingfall/machine/node_context.h"
@@ -47,6 +48,9 @@
     void sweep();
     void probe_worker();
     void note_probe(const http_answer& answer);
+    void seek_crash();
+    void note_crash_probe(const http_answer& answer);
+    void end_broken(std::uint64_t id, bool crashed, time_point now);
     void set_health(bool healthy, const std::string& why);
     void follow_contract();
     std::vector<http_header> with_load(std::vector<http_header> headers) const;
@@ -58,8 +62,9 @@
     std::uint64_t next_id_ = 1;
     bool healthy_ = true;
     std::uint32_t failed_probes_ = 0;
-    std::vector<std::string>
-        broken_fingerprints_; ///< of requests whose connection broke since the last probe
+    crash_watch crashes_;
+    std::map<std::uint64_t, std::string> broken_fingerprints_; ///< of the requests in `crashes_`
+    loop_event next_crash_probe_;
     http_server server_;
     loop_event sweep_;
     loop_event probe_;
--- a/include/waxwingfall/support/error.h
+++ b/include/waxwingfall/support/error.h
@@ -53,6 +53,7 @@
     crash_quarantined,
     worker_unreachable,
     worker_failed,
+    worker_crashed,
     // Start-up.
     address_in_use,
 };
--- a/lib/call/call_decisions.cpp
+++ b/lib/call/call_decisions.cpp
@@ -32,7 +32,8 @@
 }
 
 bool may_try_again(const retry_question& question, time_point now) {
-    return question.tried < question.max_attempts && now < question.deadline && !question.inside_retry;
+    return question.tried < question.max_attempts && now < question.deadline && !question.inside_retry &&
+           !question.quarantined;
 }
 
 } // namespace waxwingfall
--- /dev/null
+++ b/lib/call/crash_watch.cpp
@@ -0,0 +1,27 @@
+#include "waxwingfall/call/crash_watch.h"
+
+#include <utility>
+
+namespace waxwingfall {
+
+bool note_broken(crash_watch& state, std::uint64_t request) {
+    state.broken.push_back(request);
+    return state.broken.size() == 1;
+}
+
+crash_finding judge_probe(crash_watch& state, probe_result result) {
+    crash_finding finding;
+    if (state.broken.empty()) {
+        return finding;
+    }
+    if (result == probe_result::lost && ++state.lost_probes < state.policy.probes) {
+        finding.probe_after = state.policy.repeat_after;
+        return finding;
+    }
+    finding.crashed = result != probe_result::answered;
+    finding.decided = std::exchange(state.broken, {});
+    state.lost_probes = 0;
+    return finding;
+}
+
+} // namespace waxwingfall
--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -57,6 +57,7 @@
     std::uint64_t upstream = 0;
     bool trying = false;
     bool refused = false; ///< the worker's node refused this try
+    bool crashed = false; ///< the worker's node saw the worker crash under this try
     error_kind refusal = error_kind::overloaded;
     std::optional<double> reported_load;
     int status = 0;
@@ -221,6 +222,7 @@
     }
     tried.endpoint = *endpoint;
     tried.refused = false;
+    tried.crashed = false;
     tried.trying = true;
     tried.reported_load.reset();
     const bool is_retry = !tried.tried.empty();
@@ -254,7 +256,8 @@
     if (result != outcome_name(outcome::done)) {
         // Held back: another try may still give the caller a real answer.
         answered.refused = result == outcome_name(outcome::not_run);
-        answered.refusal = answered.refused ? reason_in(headers) : error_kind::worker_failed;
+        answered.refusal = reason_in(headers);
+        answered.crashed = answered.refusal == error_kind::worker_crashed;
         answered.status = 0;
         return;
     }
@@ -299,6 +302,9 @@
                               : refused ? try_result::refused
                                         : try_result::failed;
     end_try(node_.routing, ended.service->name, ended.endpoint, result, ended.reported_load, now);
+    if (ended.crashed) {
+        spread_crash(node_, ended.received.fingerprint, ended.endpoint, now);
+    }
     if (answered) {
         finish(id);
         return;
@@ -335,7 +341,8 @@
 
 bool call_proxy::may_retry(call& failed, time_point now) {
     const retry_question question{failed.tried.size(), failed.service->max_attempts, failed.inside_retry,
-                                  failed.deadline};
+                                  failed.deadline,
+                                  is_quarantined(node_.crashes, failed.received.fingerprint, now)};
     if (!may_try_again(question, now)) {
         return false;
     }
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -15,6 +15,18 @@
 constexpr int status_unavailable = 503;
 constexpr int status_ok = 200;
 
+probe_result probe_result_of(const http_answer& answer) {
+    switch (answer.how) {
+    case http_answer::delivery::answered:
+        return probe_result::answered;
+    case http_answer::delivery::not_connected:
+        return probe_result::refused;
+    case http_answer::delivery::lost:
+        return probe_result::lost;
+    }
+    return probe_result::lost;
+}
+
 } // namespace
 
 struct worker_gate::request {
@@ -156,9 +168,44 @@
         refuse(id, error_kind::worker_unreachable);
         return;
     }
-    broken_fingerprints_.push_back(ended.received.fingerprint);
-    probe_worker();
-    fail(id, error_kind::worker_failed);
+    broken_fingerprints_.emplace(id, ended.received.fingerprint);
+    if (note_broken(crashes_, id)) {
+        seek_crash();
+    }
+}
+
+void worker_gate::seek_crash() {
+    const http_request health{EVHTTP_REQ_GET, "/health", {}, {}};
+    exchange(node_.loop, node_.settings.worker, health, probe_timeout,
+             [this](const http_answer& answer) { note_crash_probe(answer); });
+}
+
+void worker_gate::note_crash_probe(const http_answer& answer) {
+    const time_point now = monotonic_now();
+    const crash_finding finding = judge_probe(crashes_, probe_result_of(answer));
+    if (finding.probe_after) {
+        next_crash_probe_ = loop_event::after(node_.loop, *finding.probe_after, [this] { seek_crash(); });
+        return;
+    }
+    if (finding.crashed) {
+        node_.log.write(event_id::worker_crashed, wall_now(),
+                        {{"requests", std::to_string(finding.decided.size())}});
+    }
+    for (const std::uint64_t id : finding.decided) {
+        end_broken(id, finding.crashed, now);
+    }
+    note_probe(answer);
+}
+
+void worker_gate::end_broken(std::uint64_t id, bool crashed, time_point now) {
+    const auto fingerprint = broken_fingerprints_.extract(id);
+    if (crashed) {
+        // Sent before the answer, so that the news is on its way when somebody retries.
+        spread_crash(node_, fingerprint.mapped(), node_.control.nodes.self.id, now);
+    }
+    if (requests_.contains(id)) {
+        fail(id, crashed ? error_kind::worker_crashed : error_kind::worker_failed);
+    }
 }
 
 void worker_gate::refuse(std::uint64_t id, error_kind kind) {
@@ -232,18 +279,7 @@
 }
 
 void worker_gate::note_probe(const http_answer& answer) {
-    const time_point now = monotonic_now();
-    const std::vector<std::string> broken = std::move(broken_fingerprints_);
-    broken_fingerprints_.clear();
     if (answer.how == http_answer::delivery::not_connected) {
-        // The worker is gone, and so the requests whose connections broke were running on it when it went.
-        for (const std::string& fingerprint : broken) {
-            spread_crash(node_, fingerprint, node_.control.nodes.self.id, now);
-        }
-        if (!broken.empty()) {
-            node_.log.write(event_id::worker_crashed, wall_now(),
-                            {{"requests", std::to_string(broken.size())}});
-        }
         set_health(false, "unreachable");
         return;
     }
--- a/lib/support/error.cpp
+++ b/lib/support/error.cpp
@@ -89,6 +89,8 @@
                  "the worker can't be reached"},
     error_answer{worker_failed, "worker-failed", 502, outcome::unknown, exit_unavailable,
                  "the worker failed while it ran the request"},
+    error_answer{worker_crashed, "worker-crashed", 502, outcome::unknown, exit_unavailable,
+                 "the worker crashed while it ran the request"},
     error_answer{address_in_use, "address-in-use", 0, outcome::not_applicable, exit_unavailable,
                  "a listening address can't be bound"},
 };
