--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -2,8 +2,12 @@
 #define WAXWINGFALL_CALL_CALL_DECISIONS_H
 
 #include <cstdint>
+#include <string>
+#include <string_view>
 
 #include "waxwingfall/call/ledger.h"
+#include "waxwingfall/contract/document.h"
+#include "waxwingfall/support/random_source.h"
 #include "waxwingfall/call/routing.h"
 #include "waxwingfall/support/error.h"
 #include "waxwingfall/support/time.h"
@@ -21,9 +25,24 @@
 /// have run under an earlier sending, whatever this one met.
 outcome outcome_of(error_kind kind, bool has_key, bool was_granted);
 
+/// The service that takes a call of `route`: its own, or one of its split, drawn by weight.
+const std::string& choose_service(const route_contract& route, random_source& random);
+
+/// True if a call of this kind and method may run at most once.
+bool runs_once(const route_contract& route, std::string_view method);
+
+/// True if such a call is told apart from its repetitions by an idempotency key. Without one, each sending by the
+/// caller is a call of its own.
+bool needs_key(const route_contract& route, std::string_view method);
+
+/// Seconds after which a caller that was refused should come back. Answers load that exceeds capacity: a refused
+/// caller that returns while the queue is still full is refused again, and callers refused together must not
+/// return together. `busy_for` is how long the service is expected to stay full; 0 if nobody knows.
+double retry_after_s(milliseconds busy_for, random_source& random);
+
 /// What bears on another try of a call.
 struct retry_question {
-    std::size_t tried = 0;
+    std::size_t reached = 0; ///< tries that may have reached a worker
     std::uint32_t max_attempts = 1;
     bool inside_retry = false; ///< the call serves a call that is itself a retry
     time_point deadline;
--- /dev/null
+++ b/include/waxwingfall/call/worker_view.h
@@ -0,0 +1,52 @@
+#ifndef WAXWINGFALL_CALL_WORKER_VIEW_H
+#define WAXWINGFALL_CALL_WORKER_VIEW_H
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "waxwingfall/contract/worker_report.h"
+#include "waxwingfall/support/time.h"
+
+namespace waxwingfall {
+
+/// What the node beside a worker knows of it, from its heartbeats and from what its connections showed.
+struct worker_view {
+    std::string address;                  ///< of the worker; reports of others are not taken
+    std::string worker_id;                ///< empty until the worker has said who it is
+    std::optional<worker_report> newest;  ///< nothing if only a health check has named the worker
+    std::set<std::string> former_ids;     ///< of workers that were replaced at this address
+    bool reachable = false;               ///< false after a refused connection, until it is heard of again
+    bool leaving = false;                 ///< it said that it drains or leaves
+    time_point leaving_since;
+    time_point last_heard;
+};
+
+/// What became of a report.
+enum class report_verdict : std::uint8_t {
+    taken,
+    outdated, ///< sent before one that was taken, by the same worker or by one that it replaced
+    foreign   ///< of a worker at another address
+};
+
+/// Takes in a report. Those of an earlier incarnation, or late ones of this one, change nothing.
+report_verdict take_report(worker_view& view, const worker_report& report, time_point now);
+
+/// Takes in the answer of a health check that this node sent when it knew no worker: `healthy` is false while
+/// the worker drains. A worker that has reported is not changed by it.
+void take_health(worker_view& view, const std::string& worker_id, bool healthy, time_point now);
+
+/// Notes that nothing listens at the worker's address.
+void note_unreachable(worker_view& view);
+
+/// True if requests may be placed at the worker.
+bool takes_work(const worker_view& view);
+
+/// True if requests that arrive all the same may still run: those of nodes that have not heard of the worker's
+/// leaving yet, until `drain` after it was acknowledged.
+bool may_run(const worker_view& view, milliseconds drain, time_point now);
+
+} // namespace waxwingfall
+
+#endif
--- a/include/waxwingfall/machine/call_headers.h
+++ b/include/waxwingfall/machine/call_headers.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/call_wire.h"
 #include "waxwingfall/link/http.h"
 #include "waxwingfall/support/error.h"
 #include "waxwingfall/support/time.h"
@@ -14,10 +15,10 @@
 /// Headers that callers and workers use; docs/calls.md describes each.
 namespace call_header {
 inline constexpr const char* idempotency_key = "Idempotency-Key";
-inline constexpr const char* deadline_ms = "X-Deadline-Ms"; ///< what is left for the call, in milliseconds
+inline constexpr const char* deadline_ms = platform::header::deadline_ms;
 inline constexpr const char* retry_attempt =
     "X-Retry-Attempt";                              ///< over 0 inside a call that is itself a retry
-inline constexpr const char* not_run = "X-Not-Run"; ///< a worker's promise that it ran nothing
+inline constexpr const char* not_run = platform::header::not_run;
 inline constexpr const char* outcome = "X-Waxwingfall-Outcome"; ///< done, not-run or unknown
 inline constexpr const char* reason = "X-Waxwingfall-Reason";   ///< the name of an error kind
 inline constexpr const char* load = "X-Waxwingfall-Load"; ///< between nodes: running and waiting requests
--- a/include/waxwingfall/machine/call_proxy.h
+++ b/include/waxwingfall/machine/call_proxy.h
@@ -32,6 +32,9 @@
     std::size_t open_connections() const { return workers_.open_connections(); }
     void stop_accepting() { server_.stop_accepting(); }
 
+    /// Applies the limits of the document in force to new connections.
+    void follow_contract();
+
 private:
     struct call;
     void receive(evhttp_request* raw);
@@ -45,6 +48,7 @@
     void finish(std::uint64_t id);
     void fail(std::uint64_t id, error_kind kind);
     void replay(std::uint64_t id, const ledger_record& record);
+    void log_failure(const call& failed, error_kind kind, outcome result);
     void settle(call& settled, std::uint32_t state);
     void remove(std::uint64_t id);
     void sweep();
--- a/include/waxwingfall/machine/node.h
+++ b/include/waxwingfall/machine/node.h
@@ -7,6 +7,7 @@
 
 #include "waxwingfall/machine/admin.h"
 #include "waxwingfall/machine/call_proxy.h"
+#include "waxwingfall/machine/local_ports.h"
 #include "waxwingfall/machine/node_context.h"
 #include "waxwingfall/machine/platform_agent.h"
 #include "waxwingfall/machine/worker_gate.h"
@@ -41,6 +42,7 @@
     worker_gate gate_;
     platform_agent platform_;
     admin_server admin_;
+    local_ports local_;
     time_point last_tick_;
     time_point next_housekeeping_;
     time_point leave_started_;
--- a/include/waxwingfall/machine/node_context.h
+++ b/include/waxwingfall/machine/node_context.h
@@ -10,6 +10,7 @@
 #include "waxwingfall/call/ledger.h"
 #include "waxwingfall/call/quarantine.h"
 #include "waxwingfall/call/routing.h"
+#include "waxwingfall/call/worker_view.h"
 #include "waxwingfall/contract/document.h"
 #include "waxwingfall/link/event_loop.h"
 #include "waxwingfall/link/message_link.h"
@@ -50,6 +51,7 @@
     ledger records;
     claimant claims;
     quarantine crashes;
+    worker_view worker; ///< used only if the worker sends heartbeats
     std::shared_ptr<const contract> in_force; ///< null until a document is enforced
     std::uint64_t version = 0;
     call_counts counts;
--- a/include/waxwingfall/machine/platform_agent.h
+++ b/include/waxwingfall/machine/platform_agent.h
@@ -6,8 +6,8 @@
 #include <string>
 
 #include "waxwingfall/machine/node_context.h"
-#include "waxwingfall/platform/head.h"
-#include "waxwingfall/platform/store_client.h"
+#include "waxwingfall/store/head.h"
+#include "waxwingfall/store/store_client.h"
 
 namespace waxwingfall {
 
@@ -33,7 +33,8 @@
 private:
     struct watch_state {
         bool waiting = false;
-        std::uint64_t revision = 0;
+        std::uint64_t revision = 0;     ///< of the store, from which the next watch goes on
+        std::uint64_t key_revision = 0; ///< of the key's last known change
         time_point next_try;
         milliseconds backoff{0};
     };
@@ -43,6 +44,7 @@
     void watch(watch_state& state, const std::string& key, time_point now,
                void (platform_agent::*take)(const store_answer&));
     void take_head(const store_answer& answer);
+    void take_configuration(const store_answer& answer);
     void fetch_body(const accepted_version& version);
     void take_ledger(const store_answer& answer);
     void keep_seed(std::size_t rank, time_point now);
--- a/include/waxwingfall/machine/settings.h
+++ b/include/waxwingfall/machine/settings.h
@@ -1,6 +1,8 @@
 #ifndef WAXWINGFALL_MACHINE_SETTINGS_H
 #define WAXWINGFALL_MACHINE_SETTINGS_H
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +17,12 @@
 
 namespace waxwingfall {
 
+/// Where the accepted configuration lies in the platform's store.
+enum class configuration_source : std::uint8_t {
+    environment_head, ///< versions that waxwingctl accepted
+    operator_key      ///< the one key that the platform's operator writes
+};
+
 /// The settings of one node. docs/settings.md is the reference.
 struct node_settings {
     std::string name;
@@ -25,9 +33,11 @@
     ip_address inbound; ///< where other nodes send requests for the worker
     ip_address control; ///< for messages between nodes
     ip_address admin;   ///< /status and /metrics
+    std::optional<ip_address> ready;      ///< where a balancer asks whether callers may come here
+    std::optional<ip_address> heartbeats; ///< where the worker reports; without it the worker is probed
     std::string service;
     ip_address worker;
-    std::uint32_t slots = 1;
+    std::uint32_t slots = 1; ///< until the worker's heartbeats name another number
     std::uint32_t connections = 110; ///< to the worker
     milliseconds probe_period{1000}; ///< between health probes of the worker
     ip_address platform;
@@ -40,6 +50,10 @@
     milliseconds leave_notice{
         2000}; ///< after the notice that it leaves, a node still admits work for so long
     milliseconds leave_timeout{30'000}; ///< after which a leaving node stops, whatever is still running
+    milliseconds drain{1000}; ///< after a worker's notice that it leaves, for which requests of nodes that have
+                              ///< not heard of it still run; under the sites' bound of 2 s
+    configuration_source source = configuration_source::environment_head;
+    std::uint32_t retry_slack = 90; ///< retries of all nodes in a budget window, beyond the share of requests
     bool retry_budget = true; ///< off lets every failed try be repeated, the baseline of the measurements
     zone_policy zone;
     routing_policy routing;
--- a/include/waxwingfall/machine/worker_gate.h
+++ b/include/waxwingfall/machine/worker_gate.h
@@ -31,6 +31,13 @@
     /// Refuses new work from now on.
     void close() { admission_.leaving = true; }
 
+    /// Takes in a heartbeat or a leave of the worker.
+    report_verdict take_report(const worker_report& report);
+
+    /// Asks the worker who it is, once, so that a node that starts beside a running worker need not wait for its next
+    /// heartbeat. Does nothing if the worker sends none or has reported.
+    void identify_worker();
+
     double load() const { return load_of(admission_); }
     bool worker_is_healthy() const { return healthy_; }
 
@@ -53,6 +60,9 @@
     void end_broken(std::uint64_t id, bool crashed, time_point now);
     void set_health(bool healthy, const std::string& why);
     void follow_contract();
+    void show_worker(const std::string& why);
+    bool may_take(error_kind& refusal, time_point now) const;
+    std::string health_path() const;
     std::vector<http_header> with_load(std::vector<http_header> headers) const;
 
     node_context& node_;
@@ -61,6 +71,7 @@
     std::map<std::uint64_t, std::unique_ptr<request>> requests_;
     std::uint64_t next_id_ = 1;
     bool healthy_ = true;
+    bool asked_worker_ = false;
     std::uint32_t failed_probes_ = 0;
     crash_watch crashes_;
     std::map<std::uint64_t, std::string> broken_fingerprints_; ///< of the requests in `crashes_`
--- a/include/waxwingfall/operator/store_session.h
+++ b/include/waxwingfall/operator/store_session.h
@@ -9,8 +9,8 @@
 
 #include "waxwingfall/link/event_loop.h"
 #include "waxwingfall/operator/commands.h"
-#include "waxwingfall/platform/head.h"
-#include "waxwingfall/platform/store_client.h"
+#include "waxwingfall/store/head.h"
+#include "waxwingfall/store/store_client.h"
 
 namespace waxwingfall {
 
--- a/include/waxwingfall/standin/platform_service.h
+++ b/include/waxwingfall/standin/platform_service.h
@@ -2,8 +2,10 @@
 #define WAXWINGFALL_STANDIN_PLATFORM_SERVICE_H
 
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "waxwingfall/link/event_loop.h"
@@ -11,18 +13,24 @@
 
 namespace waxwingfall::standin {
 
-/// A stand-in for the platform's key-value service, for tests and demonstrations: one process, memory only.
-/// It can be told over HTTP to be down, slow, to lose answers after a write, or to go back to an earlier
-/// state.
+/// A stand-in for the platform's key-value service, for tests and demonstrations: one process, memory only, in the
+/// form of platform/store_wire.h. It can be told over HTTP to be down, slow, to lose answers after a write, to forget
+/// its history, or to go back to an earlier state.
 class platform_service {
 public:
     platform_service(const event_loop& loop, const ip_address& address);
 
 private:
     struct entry {
-        std::string bytes;
+        std::string value; ///< as it came, in base64
         std::uint64_t revision = 0;
-        std::string lease;
+        std::uint64_t created = 0;
+        std::uint64_t lease = 0;
+    };
+    struct change {
+        std::uint64_t revision = 0;
+        std::string key;
+        std::optional<entry> written; ///< nothing if the key was removed
     };
     struct lease {
         milliseconds lifetime{};
@@ -30,8 +38,8 @@
     };
     struct watch {
         evhttp_request* request = nullptr;
-        std::string key;
-        std::uint64_t known = 0;
+        std::string prefix;
+        std::uint64_t after = 0;
         time_point ends;
     };
     struct delayed {
@@ -53,18 +61,24 @@
     void list(evhttp_request* request);
     void change_lease(evhttp_request* request);
     void control(evhttp_request* request);
-    void answer_value(evhttp_request* request, const std::string& key);
-    void wake_watches(const std::string& key);
+    void watch_changes(evhttp_request* request);
+    bool answer_changes(const watch& waiting);
+    void set(const std::string& key, std::string value, std::uint64_t lease);
+    void erase(const std::string& key);
+    void end_leased(std::uint64_t lease);
+    void wake_watches();
     void tick();
     void drop_closed(evhttp_connection* connection);
 
     const event_loop& loop_;
     std::map<std::string, entry> entries_;
     std::map<std::string, entry> saved_;
-    std::map<std::string, lease> leases_;
+    std::map<std::uint64_t, lease> leases_;
+    std::deque<change> history_;
+    std::uint64_t forgotten_ = 0; ///< changes up to this revision are no longer in the history
     std::list<watch> watches_;
     std::list<delayed> delayed_;
-    std::uint64_t revision_ = 0;
+    std::uint64_t revision_ = 1;
     std::uint64_t next_lease_ = 1;
     counts counts_;
     bool down_ = false;
--- a/include/waxwingfall/platform/store_client.h
+++ b/include/waxwingfall/store/store_client.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/store_wire.h"
 #include "waxwingfall/link/address.h"
 #include "waxwingfall/link/event_loop.h"
 
@@ -21,25 +22,18 @@
     unknown      ///< no answer came; a write may have taken effect
 };
 
-/// A value with the revision that a compare-and-swap names. Revision 0 stands for an absent key.
-struct stored_value {
-    std::string key;
-    std::string bytes;
-    std::uint64_t revision = 0;
-    auto operator<=>(const stored_value&) const = default;
-};
-
 /// The answer to a call.
 struct store_answer {
     store_status status = store_status::not_reached;
     stored_value value;               ///< of `read`, `watch` and `write`
     std::vector<stored_value> listed; ///< of `list`
     std::string lease;                ///< of `grant_lease`
+    std::uint64_t store_revision = 0; ///< of `watch`: where the next watch begins
 };
 
 using store_callback = std::function<void(const store_answer&)>;
 
-/// Calls to the platform's key-value service over HTTP; docs/platform.md describes the protocol. Each call
+/// Calls to the platform's key-value service over HTTP, in the form of platform/store_wire.h. Each call
 /// has its own connection, so that one gone silent costs one call's timeout.
 struct store_client {
     const event_loop* loop = nullptr;
@@ -52,7 +46,8 @@
 /// Reads all keys that start with `prefix`.
 void list_values(const store_client& client, const std::string& prefix, store_callback done);
 
-/// Waits up to `wait` until the key has another revision than `known`.
+/// Waits up to `wait` for a change of the key after the service's revision `known`. Reads the key instead if `known`
+/// is 0 or if the service has forgotten its history since.
 void watch_value(const store_client& client, const std::string& key, std::uint64_t known, milliseconds wait,
                  store_callback done);
 
@@ -66,6 +61,7 @@
 
 void grant_lease(const store_client& client, milliseconds lifetime, store_callback done);
 void renew_lease(const store_client& client, const std::string& lease, store_callback done);
+void end_lease(const store_client& client, const std::string& lease, store_callback done);
 
 } // namespace waxwingfall
 
--- a/include/waxwingfall/support/error.h
+++ b/include/waxwingfall/support/error.h
@@ -52,6 +52,7 @@
     answer_not_kept,
     crash_quarantined,
     worker_unreachable,
+    worker_refused,
     worker_failed,
     worker_crashed,
     // Start-up.
--- a/include/waxwingfall/support/event_log.h
+++ b/include/waxwingfall/support/event_log.h
@@ -37,6 +37,10 @@
     worker_crashed = 500,
     request_quarantined = 501,
     worker_health_changed = 502,
+    worker_reported = 503,
+    worker_report_ignored = 504,
+    call_failed = 600,
+    request_refused = 601,
 };
 
 /// One row of the catalogue.
@@ -57,7 +61,7 @@
 };
 
 /// Writes events as one JSON object a line: {"time":MS,"clock":N,"process":"...","event":N,"name":"...",
-/// "level":"...", then the fields as texts}. Lines go to standard error, or to `path` if it is not empty.
+/// "level":"...", then the fields as texts}. Lines go to standard output, or to `path` if it is not empty.
 class event_log {
 public:
     event_log(std::string process, const std::string& path);
--- a/lib/call/call_decisions.cpp
+++ b/lib/call/call_decisions.cpp
@@ -1,5 +1,7 @@
 #include "waxwingfall/call/call_decisions.h"
 
+#include <algorithm>
+
 namespace waxwingfall {
 
 error_kind refusal_of(claim_verdict verdict) {
@@ -18,9 +20,47 @@
     }
 }
 
+const std::string& choose_service(const route_contract& route, random_source& random) {
+    if (route.split.empty()) {
+        return route.service;
+    }
+    std::uint64_t sum = 0;
+    for (const weighted_service& part : route.split) {
+        sum += part.weight;
+    }
+    std::uint64_t drawn = random_below(random, sum);
+    for (const weighted_service& part : route.split) {
+        if (drawn < part.weight) {
+            return part.name;
+        }
+        drawn -= part.weight;
+    }
+    return route.split.back().name;
+}
+
+bool needs_key(const route_contract& route, std::string_view method) {
+    const auto& marked = route.non_idempotent_methods;
+    return route.kind == request_kind::by_method &&
+           std::find(marked.begin(), marked.end(), method) != marked.end();
+}
+
+bool runs_once(const route_contract& route, std::string_view method) {
+    return route.kind == request_kind::non_idempotent || needs_key(route, method);
+}
+
+double retry_after_s(milliseconds busy_for, random_source& random) {
+    // Half a second is the mean run of the deployments' slower requests, so that some slots are free again.
+    constexpr std::uint64_t base_ms = 250;
+    constexpr std::uint64_t spread_ms = 500;
+    constexpr double ms_per_s = 1000.0;
+    const std::uint64_t busy = static_cast<std::uint64_t>(busy_for.count());
+    return static_cast<double>(busy + base_ms + random_below(random, spread_ms)) / ms_per_s;
+}
+
 bool is_worth_a_retry(error_kind refusal) {
     return refusal == error_kind::overloaded || refusal == error_kind::leaving ||
-           refusal == error_kind::worker_unreachable || refusal == error_kind::no_endpoint;
+           refusal == error_kind::worker_unreachable || refusal == error_kind::worker_refused ||
+           refusal == error_kind::no_endpoint;
 }
 
 outcome outcome_of(error_kind kind, bool has_key, bool was_granted) {
@@ -32,7 +72,7 @@
 }
 
 bool may_try_again(const retry_question& question, time_point now) {
-    return question.tried < question.max_attempts && now < question.deadline && !question.inside_retry &&
+    return question.reached < question.max_attempts && now < question.deadline && !question.inside_retry &&
            !question.quarantined;
 }
 
--- /dev/null
+++ b/lib/call/worker_view.cpp
@@ -0,0 +1,86 @@
+#include "waxwingfall/call/worker_view.h"
+
+namespace waxwingfall {
+
+namespace {
+
+bool is_outdated(const worker_view& view, const worker_report& report) {
+    if (!view.newest) {
+        return view.former_ids.contains(report.worker_id);
+    }
+    const worker_report& known = *view.newest;
+    if (report.incarnation != known.incarnation) {
+        return report.incarnation < known.incarnation;
+    }
+    if (report.worker_id != known.worker_id) {
+        return view.former_ids.contains(report.worker_id);
+    }
+    // A leave carries no sequence; it is the last word of its incarnation.
+    const bool has_left = known.state == worker_state::left;
+    return has_left || (report.state != worker_state::left && report.sequence <= known.sequence);
+}
+
+bool is_same_worker(const worker_view& view, const worker_report& report) {
+    return view.worker_id == report.worker_id &&
+           (!view.newest || view.newest->incarnation == report.incarnation);
+}
+
+} // namespace
+
+report_verdict take_report(worker_view& view, const worker_report& report, time_point now) {
+    const bool has_address = report.state != worker_state::left;
+    if (has_address && report.address != view.address) {
+        return report_verdict::foreign;
+    }
+    if (!has_address && !view.worker_id.empty() && report.worker_id != view.worker_id) {
+        return report_verdict::outdated;
+    }
+    if (is_outdated(view, report)) {
+        return report_verdict::outdated;
+    }
+    const bool leaves = report.state != worker_state::ready;
+    if (!is_same_worker(view, report)) {
+        if (!view.worker_id.empty() && view.worker_id != report.worker_id) {
+            view.former_ids.insert(view.worker_id);
+        }
+        view.leaving = false;
+    }
+    if (leaves && !view.leaving) {
+        view.leaving_since = now;
+    }
+    // A worker never takes back that it leaves.
+    view.leaving = view.leaving || leaves;
+    view.worker_id = report.worker_id;
+    view.newest = report;
+    view.reachable = true;
+    view.last_heard = now;
+    return report_verdict::taken;
+}
+
+void take_health(worker_view& view, const std::string& worker_id, bool healthy, time_point now) {
+    if (view.newest || worker_id.empty()) {
+        return;
+    }
+    view.worker_id = worker_id;
+    view.reachable = true;
+    view.last_heard = now;
+    view.leaving = !healthy;
+    view.leaving_since = now;
+}
+
+void note_unreachable(worker_view& view) {
+    view.reachable = false;
+}
+
+bool takes_work(const worker_view& view) {
+    return view.reachable && !view.leaving && !view.worker_id.empty();
+}
+
+bool may_run(const worker_view& view, milliseconds drain, time_point now) {
+    if (view.worker_id.empty() || !view.reachable) {
+        return false;
+    }
+    return !view.leaving || (view.newest && now < view.leaving_since + drain);
+}
+
+} // namespace waxwingfall
--- a/lib/contract/rules.cpp
+++ b/lib/contract/rules.cpp
@@ -144,9 +144,26 @@
     if (!is_prefix(route.prefix)) {
         add(error_kind::out_of_range, "a prefix starts with '/' and has no blank, '?' or '#'");
     }
-    if (!names.contains(route.service)) {
-        add(error_kind::dangling_reference,
-            "service '" + route.service + "' is not defined in this document");
+    const auto check_reference = [&](const std::string& name) {
+        if (!names.contains(name)) {
+            add(error_kind::dangling_reference, "service '" + name + "' is not defined in this document");
+        }
+    };
+    if (route.split.empty()) {
+        check_reference(route.service);
+    } else if (!route.service.empty()) {
+        add(error_kind::out_of_range, "a route has either a service or a split");
+    }
+    std::uint64_t weights = 0;
+    for (const weighted_service& part : route.split) {
+        check_reference(part.name);
+        weights += part.weight;
+    }
+    if (!route.split.empty() && weights == 0) {
+        add(error_kind::out_of_range, "the weights of a split add up to nothing");
+    }
+    if (route.kind > request_kind::download || route.max_attempts > max_route_attempts) {
+        add(error_kind::out_of_range, "the kind or the number of attempts is outside its range");
     }
     if (route.timeout_ms != 0 && !in_range(route.timeout_ms, min_timeout_ms, max_timeout_ms)) {
         add(error_kind::out_of_range, "the timeout is outside its range");
@@ -198,6 +215,20 @@
     return found.empty() ? std::string() : found.front().message;
 }
 
+std::string kind_name(request_kind kind) {
+    switch (kind) {
+    case request_kind::by_method:
+        return "by_method";
+    case request_kind::idempotent:
+        return "idempotent";
+    case request_kind::non_idempotent:
+        return "non_idempotent";
+    case request_kind::download:
+        return "download";
+    }
+    return "unknown";
+}
+
 const service_contract* find_service(const contract& content, std::string_view name) {
     const auto found = std::lower_bound(
         content.services.begin(), content.services.end(), name,
--- a/lib/contract/rules.h
+++ b/lib/contract/rules.h
@@ -26,6 +26,7 @@
 inline constexpr std::uint32_t min_timeout_ms = 10;
 inline constexpr std::uint32_t max_timeout_ms = 600'000;
 inline constexpr std::uint32_t max_attempts_limit = 5;
+inline constexpr std::uint32_t max_route_attempts = 16;
 inline constexpr std::uint32_t max_retry_budget_percent = 100;
 inline constexpr std::uint32_t max_in_flight = 10'000;
 inline constexpr std::uint32_t max_queue = 10'000;
--- a/lib/contract/snapshot.cpp
+++ b/lib/contract/snapshot.cpp
@@ -20,6 +20,8 @@
     for (const std::string& name : service.depends_on) {
         out.add_depends_on(name);
     }
+    out.set_health_path(service.health_path);
+    out.set_max_connections(service.max_connections);
 }
 
 void write_route(const route_contract& route, wire::route& out) {
@@ -30,6 +32,26 @@
     for (const std::string& method : route.non_idempotent_methods) {
         out.add_non_idempotent_methods(method);
     }
+    out.set_kind(static_cast<std::uint32_t>(route.kind));
+    out.set_max_attempts(route.max_attempts);
+    out.set_goal_ms(route.goal_ms);
+    out.set_priority(route.priority);
+    for (const weighted_service& part : route.split) {
+        wire::weighted_service& written = *out.add_split();
+        written.set_name(part.name);
+        written.set_weight(part.weight);
+    }
+}
+
+void write_limits(const caller_limits& limits, wire::caller_limits& out) {
+    out.set_header_bytes(limits.header_bytes);
+    out.set_body_bytes(limits.body_bytes);
+    out.set_header_timeout_ms(limits.header_timeout_ms);
+    out.set_idle_timeout_ms(limits.idle_timeout_ms);
+}
+
+caller_limits read_limits(const wire::caller_limits& in) {
+    return {in.header_bytes(), in.body_bytes(), in.header_timeout_ms(), in.idle_timeout_ms()};
 }
 
 service_contract read_service(const wire::service& in) {
@@ -41,6 +63,8 @@
     service.in_flight = in.in_flight();
     service.queue = in.queue();
     service.depends_on.assign(in.depends_on().begin(), in.depends_on().end());
+    service.health_path = in.health_path();
+    service.max_connections = in.max_connections();
     return service;
 }
 
@@ -52,6 +76,13 @@
     route.timeout_ms = in.timeout_ms();
     route.non_idempotent_methods.assign(in.non_idempotent_methods().begin(),
                                         in.non_idempotent_methods().end());
+    route.kind = static_cast<request_kind>(in.kind());
+    route.max_attempts = in.max_attempts();
+    route.goal_ms = in.goal_ms();
+    route.priority = in.priority();
+    for (const wire::weighted_service& part : in.split()) {
+        route.split.push_back({part.name(), part.weight()});
+    }
     return route;
 }
 
@@ -67,6 +98,7 @@
     for (const wire::route& route : in.routes()) {
         content.routes.push_back(read_route(route));
     }
+    content.limits = read_limits(in.limits());
     return content;
 }
 
@@ -111,6 +143,15 @@
     return "[" + text + "]";
 }
 
+std::string split_text(const std::vector<weighted_service>& split) {
+    std::vector<std::string> parts;
+    parts.reserve(split.size());
+    for (const weighted_service& part : split) {
+        parts.push_back(part.name + ":" + std::to_string(part.weight));
+    }
+    return joined(parts);
+}
+
 /// Collects "field old -> new" for each field that differs.
 class field_changes {
 public:
@@ -136,6 +177,8 @@
     changes.add("limits.in_flight", before.in_flight, after.in_flight);
     changes.add("limits.queue", before.queue, after.queue);
     changes.add("depends_on", joined(before.depends_on), joined(after.depends_on));
+    changes.add("health_path", before.health_path, after.health_path);
+    changes.add("max_connections", before.max_connections, after.max_connections);
     return changes.text();
 }
 
@@ -145,6 +188,11 @@
     changes.add("timeout_ms", before.timeout_ms, after.timeout_ms);
     changes.add("non_idempotent", joined(before.non_idempotent_methods),
                 joined(after.non_idempotent_methods));
+    changes.add("kind", kind_name(before.kind), kind_name(after.kind));
+    changes.add("max_attempts", before.max_attempts, after.max_attempts);
+    changes.add("goal_ms", before.goal_ms, after.goal_ms);
+    changes.add("priority", before.priority, after.priority);
+    changes.add("split", split_text(before.split), split_text(after.split));
     return changes.text();
 }
 
@@ -166,6 +214,7 @@
     for (const route_contract& route : content.routes) {
         write_route(route, *out.add_routes());
     }
+    write_limits(content.limits, *out.mutable_limits());
     return out.SerializeAsString();
 }
 
@@ -212,6 +261,9 @@
         [&](const route_contract*, const route_contract& route) {
             write_route(route, *out.add_set_routes());
         });
+    if (before->limits != after->limits) {
+        write_limits(after->limits, *out.mutable_set_limits());
+    }
     return out.SerializeAsString();
 }
 
@@ -236,6 +288,7 @@
         routes.insert_or_assign({route.host(), route.prefix()}, read_route(route));
     }
     contract after;
+    after.limits = change.has_set_limits() ? read_limits(change.set_limits()) : before->limits;
     for (const auto& [name, service] : services) {
         after.services.push_back(service);
     }
--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds sweep_period{20};
 constexpr milliseconds connection_reuse{5000};
 constexpr std::size_t kept_answer_bytes = 4096;
+constexpr int status_unavailable = 503;
 
 /// Added to the wait for a worker's node, so that its own answer to a missed deadline arrives first.
 constexpr milliseconds deadline_margin{50};
@@ -46,6 +47,9 @@
     const service_contract* service = nullptr;
     bool non_idempotent = false;
     bool inside_retry = false;
+    std::uint32_t max_attempts = 1;
+    std::size_t reached = 0; ///< tries that may have reached a worker
+    time_point received_at;
     time_point deadline;
     std::optional<idempotency_key> key;
     std::uint64_t attempt = 0; ///< of the claim; 0 without one
@@ -83,10 +87,24 @@
 
 call_proxy::~call_proxy() = default;
 
+void call_proxy::follow_contract() {
+    const caller_limits& limits = node_.in_force->limits;
+    if (limits.idle_timeout_ms == 0) {
+        return;
+    }
+    // Longer than promised: a request that crosses the close of its connection has to be sent again.
+    constexpr std::int64_t margin = 5;
+    constexpr std::int64_t thousand = 1000;
+    const std::int64_t ms = limits.idle_timeout_ms + limits.idle_timeout_ms / margin;
+    const timeval limit{ms / thousand, (ms % thousand) * thousand};
+    evhttp_set_timeout_tv(server_.raw(), &limit);
+}
+
 void call_proxy::receive(evhttp_request* raw) {
     const std::uint64_t id = next_id_++;
     node_.counts.received += 1;
     auto made = std::make_unique<call>();
+    made->received_at = monotonic_now();
     made->caller = std::make_unique<downstream>(raw);
     const auto fault = read_request(raw, made->received);
     const bool is_read = made->received.method == "GET" || made->received.method == "HEAD";
@@ -115,14 +133,15 @@
         fail(id, error_kind::no_route);
         return;
     }
-    started.service = find_service(*started.under, started.route->service);
+    started.service = find_service(*started.under, choose_service(*started.route, node_.random));
     const std::uint32_t limit =
         started.route->timeout_ms != 0 ? started.route->timeout_ms : started.service->timeout_ms;
     started.deadline = read_deadline(started.received.request.headers, milliseconds(limit), now);
     const std::string retry = header_value(started.received.request.headers, call_header::retry_attempt);
     started.inside_retry = !retry.empty() && retry != "0";
-    const auto& marked = started.route->non_idempotent_methods;
-    started.non_idempotent = std::find(marked.begin(), marked.end(), started.received.method) != marked.end();
+    started.non_idempotent = runs_once(*started.route, started.received.method);
+    started.max_attempts =
+        started.route->max_attempts != 0 ? started.route->max_attempts : started.service->max_attempts;
     if (now >= started.deadline) {
         fail(id, error_kind::deadline_exceeded);
         return;
@@ -132,7 +151,7 @@
         return;
     }
     earn_retry(budgets_[started.service->name], started.service->retry_budget_percent);
-    if (started.non_idempotent) {
+    if (needs_key(*started.route, started.received.method)) {
         claim(id);
     } else {
         try_next(id);
@@ -212,7 +231,7 @@
     const time_point now = monotonic_now();
     const std::string& service = tried.service->name;
     if (now >= tried.deadline) {
-        fail(id, error_kind::deadline_exceeded);
+        fail(id, tried.tried.empty() ? error_kind::deadline_exceeded : tried.refusal);
         return;
     }
     const auto endpoint = pick_endpoint(node_.routing, service, tried.tried, now, node_.random);
@@ -233,6 +252,7 @@
     http_request sent = tried.received.request;
     const auto left = std::max<std::int64_t>(1, elapsed_ms(now, tried.deadline));
     set_header(sent.headers, call_header::deadline_ms, std::to_string(left));
+    set_header(sent.headers, platform::header::caller_service, node_.settings.service);
     if (is_retry || tried.inside_retry) {
         set_header(sent.headers, call_header::retry_attempt, std::to_string(tried.tried.size()));
     }
@@ -264,6 +284,9 @@
     answered.status = status;
     answered.content_type = header_value(headers, "Content-Type");
     auto passed = passable_headers(headers);
+    if (node_.leaving) {
+        passed.push_back({"Connection", "close"});
+    }
     passed.push_back({call_header::outcome, std::string(outcome_name(outcome::done))});
     passed.push_back({call_header::version, std::to_string(answered.version)});
     answered.caller->begin(status, passed);
@@ -313,6 +336,8 @@
         ended.refused = true;
         ended.refusal = error_kind::worker_unreachable;
     }
+    const bool by_node = ended.refused && ended.refusal != error_kind::worker_refused;
+    ended.reached += by_node ? 0 : 1;
     if (ended.refused) {
         on_refused(id);
         return;
@@ -340,13 +365,14 @@
 }
 
 bool call_proxy::may_retry(call& failed, time_point now) {
-    const retry_question question{failed.tried.size(), failed.service->max_attempts, failed.inside_retry,
+    const retry_question question{failed.reached, failed.max_attempts, failed.inside_retry,
                                   failed.deadline,
                                   is_quarantined(node_.crashes, failed.received.fingerprint, now)};
     if (!may_try_again(question, now)) {
         return false;
     }
-    if (!node_.settings.retry_budget || spend_retry(budgets_[failed.service->name])) {
+    // A try that no worker has seen is no repetition, whatever follows it.
+    if (failed.reached == 0 || !node_.settings.retry_budget || spend_retry(budgets_[failed.service->name])) {
         return true;
     }
     node_.counts.retries_denied += 1;
@@ -385,6 +411,7 @@
     call& failed = *calls_.at(id);
     const error_answer& row = answer_of(kind);
     const outcome result = outcome_of(kind, failed.has_key, failed.was_granted);
+    log_failure(failed, kind, result);
     settle(failed, row.result == outcome::not_run ? released_state
                                                   : static_cast<std::uint32_t>(record_state::unknown));
     node_.counts.not_run += result == outcome::not_run ? 1 : 0;
@@ -395,7 +422,14 @@
     // After the first piece, destroying the answer breaks the connection, so that it never looks whole.
     if (!failed.caller->has_begun()) {
         auto headers = error_headers(kind, result);
-        if (kind == error_kind::malformed_request) {
+        if (node_.leaving) {
+            headers.push_back({"Connection", "close"});
+        }
+        if (row.http_status == status_unavailable && result == outcome::not_run) {
+            headers.push_back({platform::header::retry_after,
+                               std::to_string(retry_after_s(milliseconds(0), node_.random))});
+        }
+        if (kind == error_kind::malformed_request && !node_.leaving) {
             headers.push_back({"Connection", "close"});
         }
         failed.caller->reply(row.http_status, error_body(kind, result), headers);
@@ -403,6 +437,19 @@
     remove(id);
 }
 
+void call_proxy::log_failure(const call& failed, error_kind kind, outcome result) {
+    node_.log.write(
+        event_id::call_failed, wall_now(),
+        {{"request", header_value(failed.received.request.headers, platform::header::attempt_id)},
+         {"route", failed.route == nullptr ? std::string() : failed.route->host + failed.route->prefix},
+         {"service", failed.service == nullptr ? std::string() : failed.service->name},
+         {"reason", std::string(answer_of(kind).name)},
+         {"outcome", std::string(outcome_name(result))},
+         {"tries", std::to_string(failed.tried.size())},
+         {"version", std::to_string(failed.version)},
+         {"age_ms", std::to_string(elapsed_ms(failed.received_at, monotonic_now()))}});
+}
+
 void call_proxy::remove(std::uint64_t id) {
     const auto found = calls_.find(id);
     const std::unique_ptr<call> removed = std::move(found->second);
--- a/lib/machine/node.cpp
+++ b/lib/machine/node.cpp
@@ -36,7 +36,8 @@
       gate_(context_), platform_(context_, [this](zone_effects effects) { apply(std::move(effects)); }),
       admin_(context_,
              {[this] { return proxy_.open_calls(); }, [this] { return gate_.open_requests(); },
-              [this] { return platform_.is_reachable(); }, [this] { return gate_.worker_is_healthy(); }}) {
+              [this] { return platform_.is_reachable(); }, [this] { return gate_.worker_is_healthy(); }}),
+      local_(context_, gate_) {
     const ip_address& control = settings.control;
     context_.link = std::make_unique<message_link>(loop, control.host + ":" + std::to_string(control.port),
                                                    settings.translations,
@@ -131,6 +132,8 @@
     assert(content && "only content that decodes is enforced");
     context_.in_force = std::make_shared<const contract>(std::move(*content));
     context_.version = enforced.mark.version;
+    proxy_.follow_contract();
+    gate_.identify_worker();
     context_.log.write(
         event_id::contract_enforced, wall_now(),
         {{"version", std::to_string(enforced.mark.version)}, {"digest", to_hex(enforced.mark.digest)}});
--- a/lib/machine/platform_agent.cpp
+++ b/lib/machine/platform_agent.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include "platform/configuration_wire.h"
+#include "waxwingfall/contract/snapshot.h"
 #include "waxwingfall/support/digest.h"
 
 namespace waxwingfall {
@@ -43,6 +45,9 @@
 
 void platform_agent::tick(time_point now) {
     look_for_seeds(now);
+    if (node_.settings.source == configuration_source::operator_key) {
+        watch(head_, platform::configuration_key, now, &platform_agent::take_configuration);
+    }
     const auto rank = node_.leaving ? std::nullopt : own_bridge_rank(node_.control.nodes);
     // A node that has not found the others yet would take itself for the only one, and so would all of a
     // herd.
@@ -54,6 +59,10 @@
     if (!is_reader) {
         return;
     }
+    if (node_.settings.source == configuration_source::operator_key) {
+        keep_seed(*rank, now);
+        return;
+    }
     watch(head_, head_key(node_.settings.environment), now, &platform_agent::take_head);
     watch(ledger_, ledger_key(node_.settings.environment), now, &platform_agent::take_ledger);
     keep_seed(*rank, now);
@@ -125,11 +134,9 @@
             return;
         }
         state.backoff = milliseconds(0);
-        if (answer.status == store_status::ok) {
-            state.revision = answer.value.revision;
-            (this->*take)(answer);
-        } else if (answer.status == store_status::absent) {
-            state.revision = 0;
+        state.revision = answer.store_revision;
+        if (answer.status == store_status::ok || answer.status == store_status::absent) {
+            state.key_revision = answer.value.revision;
             (this->*take)(answer);
         }
     };
@@ -172,6 +179,26 @@
         loop_event::after(node_.loop, second_reader_delay, [this, current] { fetch_body(current); });
 }
 
+void platform_agent::take_configuration(const store_answer& answer) {
+    if (answer.status != store_status::ok) {
+        return;
+    }
+    const auto refuse = [&](const std::string& reason) {
+        node_.log.write(event_id::contract_refused, wall_now(),
+                        {{"revision", std::to_string(answer.value.revision)}, {"reason", reason}});
+    };
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(accepted, platform::decode_configuration(answer.value.bytes));
+            const std::string bytes = encode_contract(accepted.content);
+            sink_(take_platform_contract(node_.control, {{accepted.version, digest_of(bytes)}, bytes},
+                                         monotonic_now()));
+            return {};
+        },
+        [&](const fault_list& list) { refuse(to_string(list.faults.front())); },
+        [&] { refuse("unknown fault"); });
+}
+
 void platform_agent::fetch_body(const accepted_version& version) {
     if (version.mark.version <= node_.control.contracts.held.mark.version) {
         return;
@@ -249,7 +276,7 @@
     // Planned only from the map that the platform holds, as far as this node knows; compare-and-swap does the
     // rest.
     const ledger_map& map = node_.records.map;
-    if ((ledger_.revision == 0) != (map.version == 0)) {
+    if ((ledger_.key_revision == 0) != (map.version == 0)) {
         return;
     }
     const auto next =
@@ -260,7 +287,7 @@
     plan_waiting_ = true;
     const std::string bytes = encode_ledger_map(*next);
     write_value(
-        client_, ledger_key(node_.settings.environment), ledger_.revision, bytes, {},
+        client_, ledger_key(node_.settings.environment), ledger_.key_revision, bytes, {},
         [this, bytes, version = next->version](const store_answer& answer) {
             plan_waiting_ = false;
             note_status(answer.status);
@@ -268,7 +295,7 @@
                 // The watch brings whatever the platform holds now, an own write included.
                 return;
             }
-            ledger_.revision = answer.value.revision;
+            ledger_.key_revision = answer.value.revision;
             node_.log.write(event_id::ledger_owner_replaced, wall_now(), {{"map", std::to_string(version)}});
             sink_(take_platform_ledger(node_.control, {{version, digest_of(bytes)}, bytes}, monotonic_now()));
         });
--- a/lib/machine/settings.cpp
+++ b/lib/machine/settings.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::uint32_t max_slots = 10'000;
 constexpr std::uint32_t max_connections = 10'000;
+constexpr std::uint32_t max_retry_slack = 1'000'000;
 constexpr std::uint32_t max_period_ms = 600'000;
 constexpr std::uint32_t min_body_bytes = 1'024;
 constexpr std::uint32_t max_body_limit = 8'388'608;
@@ -46,13 +47,19 @@
 }
 
 void read_listen(yaml_reader& reader, const yaml_value& listen, node_settings& settings) {
-    if (!reader.expect_map(listen, "'listen'", {"calls", "inbound", "control", "admin"})) {
+    if (!reader.expect_map(listen, "'listen'", {"calls", "inbound", "control", "admin", "ready", "heartbeats"})) {
         return;
     }
     settings.calls = read_address(reader, listen, "calls");
     settings.inbound = read_address(reader, listen, "inbound");
     settings.control = read_address(reader, listen, "control");
     settings.admin = read_address(reader, listen, "admin");
+    if (reader.child(listen, "ready", false) != nullptr) {
+        settings.ready = read_address(reader, listen, "ready");
+    }
+    if (reader.child(listen, "heartbeats", false) != nullptr) {
+        settings.heartbeats = read_address(reader, listen, "heartbeats");
+    }
 }
 
 void read_worker(yaml_reader& reader, const yaml_value& worker, node_settings& settings) {
@@ -70,7 +77,7 @@
 void read_limits(yaml_reader& reader, const yaml_value& limits, node_settings& settings) {
     if (!reader.expect_map(limits, "'limits'",
                            {"max_body_bytes", "max_header_bytes", "caller_timeout_ms", "leave_notice_ms",
-                            "leave_timeout_ms"})) {
+                            "leave_timeout_ms", "drain_ms"})) {
         return;
     }
     settings.max_body_bytes =
@@ -80,6 +87,7 @@
     settings.caller_timeout = read_ms(reader, limits, "caller_timeout_ms", 100, settings.caller_timeout);
     settings.leave_notice = read_ms(reader, limits, "leave_notice_ms", 0, settings.leave_notice);
     settings.leave_timeout = read_ms(reader, limits, "leave_timeout_ms", 100, settings.leave_timeout);
+    settings.drain = read_ms(reader, limits, "drain_ms", 0, settings.drain);
 }
 
 /// What a deployment weighs more: time until a change is in force, or bytes on its links.
@@ -95,7 +103,8 @@
 void read_policy(yaml_reader& reader, const yaml_value& policy, node_settings& settings) {
     if (!reader.expect_map(
             policy, "'policy'",
-            {"prefer", "deltas", "membership_probe_ms", "pick", "retry_budget", "takeover_delay_ms"})) {
+            {"prefer", "deltas", "membership_probe_ms", "pick", "retry_budget", "takeover_delay_ms",
+             "configuration_from", "retry_slack"})) {
         return;
     }
     read_preference(reader, policy, settings.zone);
@@ -110,6 +119,14 @@
     if (pick != "two_choices" && pick != "round_robin" && value != nullptr) {
         reader.report(error_kind::out_of_range, *value, "'pick' must be two_choices or round_robin");
     }
+    settings.retry_slack = reader.number(policy, "retry_slack", 0, max_retry_slack, settings.retry_slack);
+    const std::string source = reader.text(policy, "configuration_from", false, "environment");
+    const yaml_value* named = reader.child(policy, "configuration_from", false);
+    if (source != "environment" && source != "operator" && named != nullptr) {
+        reader.report(error_kind::out_of_range, *named, "'configuration_from' must be environment or operator");
+    }
+    settings.source =
+        source == "operator" ? configuration_source::operator_key : configuration_source::environment_head;
     settings.routing.rule = pick == "round_robin" ? pick_rule::round_robin : pick_rule::two_choices;
 }
 
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -12,7 +12,7 @@
 constexpr milliseconds probe_timeout{1000};
 constexpr std::uint32_t probes_to_distrust = 3;
 constexpr std::uint32_t default_queue = 24;
-constexpr int status_unavailable = 503;
+constexpr int first_failure_status = 400;
 constexpr int status_ok = 200;
 
 probe_result probe_result_of(const http_answer& answer) {
@@ -44,7 +44,9 @@
     : node_(node), worker_(node.loop, connection_reuse),
       server_(node.loop, node.settings.inbound, [this](evhttp_request* raw) { receive(raw); }),
       sweep_(loop_event::every(node.loop, sweep_period, [this] { sweep(); })),
-      probe_(loop_event::every(node.loop, node.settings.probe_period, [this] { probe_worker(); })) {
+      probe_(node.settings.heartbeats
+                 ? loop_event()
+                 : loop_event::every(node.loop, node.settings.probe_period, [this] { probe_worker(); })) {
     admission_.slots = node.settings.slots;
     admission_.queue_limit = default_queue;
     evhttp_set_max_body_size(server_.raw(), node.settings.max_body_bytes);
@@ -59,7 +61,7 @@
 void worker_gate::follow_contract() {
     const service_contract* own =
         node_.in_force ? find_service(*node_.in_force, node_.settings.service) : nullptr;
-    admission_.slots = node_.settings.slots;
+    admission_.slots = node_.worker.newest ? node_.worker.newest->slots : node_.settings.slots;
     admission_.queue_limit = default_queue;
     if (own != nullptr) {
         admission_.queue_limit = own->queue;
@@ -94,6 +96,11 @@
         refuse(id, error_kind::crash_quarantined);
         return;
     }
+    error_kind refusal = error_kind::leaving;
+    if (!may_take(refusal, now)) {
+        refuse(id, refusal);
+        return;
+    }
     switch (admit(admission_, waiting, now)) {
     case admission_verdict::run:
         run(id);
@@ -112,15 +119,33 @@
     }
 }
 
+bool worker_gate::may_take(error_kind& refusal, time_point now) const {
+    if (!node_.settings.heartbeats) {
+        return true;
+    }
+    refusal = node_.worker.leaving ? error_kind::leaving : error_kind::worker_unreachable;
+    return may_run(node_.worker, node_.settings.drain, now);
+}
+
 void worker_gate::run(std::uint64_t id) {
     request& started = *requests_.at(id);
     const time_point now = monotonic_now();
+    error_kind refusal = error_kind::leaving;
+    if (!may_take(refusal, now)) {
+        // The slot that admission counted is given back.
+        started.running = true;
+        refuse(id, refusal);
+        return;
+    }
     started.running = true;
     started.started = now;
     node_.counts.admitted += 1;
     http_request sent = started.received.request;
     const auto left = std::max<std::int64_t>(1, elapsed_ms(now, started.deadline));
     set_header(sent.headers, call_header::deadline_ms, std::to_string(left));
+    if (!node_.worker.worker_id.empty()) {
+        set_header(sent.headers, platform::header::worker_id, node_.worker.worker_id);
+    }
     upstream_callbacks callbacks;
     callbacks.on_headers = [this, id](int status, const std::vector<http_header>& headers) {
         on_headers(id, status, headers);
@@ -132,13 +157,14 @@
 
 void worker_gate::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     request& running = *requests_.at(id);
-    running.worker_refused =
-        status == status_unavailable && !header_value(headers, call_header::not_run).empty();
+    running.worker_refused = status == platform::misdirected_status ||
+                             (status >= first_failure_status &&
+                              !header_value(headers, call_header::not_run).empty());
     auto passed = with_load(passable_headers(headers));
     const outcome result = running.worker_refused ? outcome::not_run : outcome::done;
     passed.push_back({call_header::outcome, std::string(outcome_name(result))});
     if (running.worker_refused) {
-        passed.push_back({call_header::reason, std::string(answer_of(error_kind::overloaded).name)});
+        passed.push_back({call_header::reason, std::string(answer_of(error_kind::worker_refused).name)});
     }
     running.caller->begin(status, passed);
 }
@@ -164,7 +190,12 @@
         return;
     }
     if (end == upstream_end::not_connected) {
-        probe_worker();
+        if (node_.settings.heartbeats) {
+            note_unreachable(node_.worker);
+            show_worker("unreachable");
+        } else {
+            probe_worker();
+        }
         refuse(id, error_kind::worker_unreachable);
         return;
     }
@@ -175,7 +206,7 @@
 }
 
 void worker_gate::seek_crash() {
-    const http_request health{EVHTTP_REQ_GET, "/health", {}, {}};
+    const http_request health{EVHTTP_REQ_GET, health_path(), {}, {}};
     exchange(node_.loop, node_.settings.worker, health, probe_timeout,
              [this](const http_answer& answer) { note_crash_probe(answer); });
 }
@@ -210,6 +241,13 @@
 
 void worker_gate::refuse(std::uint64_t id, error_kind kind) {
     node_.counts.refused_by_gate += 1;
+    node_.log.write(
+        event_id::request_refused, wall_now(),
+        {{"request",
+          header_value(requests_.at(id)->received.request.headers, platform::header::attempt_id)},
+         {"reason", std::string(answer_of(kind).name)},
+         {"running", std::to_string(admission_.running)},
+         {"waiting", std::to_string(admission_.waiting.size())}});
     fail(id, kind);
 }
 
@@ -239,7 +277,7 @@
 
 void worker_gate::apply(const admission_turn& turn) {
     for (const std::uint64_t id : turn.expired) {
-        refuse(id, error_kind::deadline_exceeded);
+        refuse(id, error_kind::overloaded);
     }
     for (const std::uint64_t id : turn.run) {
         run(id);
@@ -272,13 +310,74 @@
     worker_.close_idle(now);
 }
 
+std::string worker_gate::health_path() const {
+    const service_contract* own =
+        node_.in_force ? find_service(*node_.in_force, node_.settings.service) : nullptr;
+    return own == nullptr ? std::string("/health") : own->health_path;
+}
+
+void worker_gate::identify_worker() {
+    if (!node_.settings.heartbeats || node_.worker.newest || asked_worker_) {
+        return;
+    }
+    asked_worker_ = true;
+    const http_request health{EVHTTP_REQ_GET, health_path(), {}, {}};
+    exchange(node_.loop, node_.settings.worker, health, probe_timeout, [this](const http_answer& answer) {
+        if (answer.how != http_answer::delivery::answered) {
+            return;
+        }
+        take_health(node_.worker, header_value(answer.headers, platform::header::answering_worker),
+                    answer.status == status_ok, monotonic_now());
+        show_worker("identified");
+    });
+}
+
+report_verdict worker_gate::take_report(const worker_report& report) {
+    const std::uint64_t before = node_.worker.newest ? node_.worker.newest->sequence : 0;
+    const bool was_taking = takes_work(node_.worker);
+    const report_verdict verdict = waxwingfall::take_report(node_.worker, report, monotonic_now());
+    if (verdict == report_verdict::taken && (before == 0 || was_taking != takes_work(node_.worker))) {
+        node_.log.write(event_id::worker_reported, wall_now(),
+                        {{"worker", report.worker_id},
+                         {"incarnation", std::to_string(report.incarnation)},
+                         {"sequence", std::to_string(report.sequence)},
+                         {"state", takes_work(node_.worker) ? "ready" : "leaving"},
+                         {"slots", std::to_string(report.slots)}});
+    }
+    show_worker("reported");
+    return verdict;
+}
+
+void worker_gate::show_worker(const std::string& why) {
+    const bool takes = takes_work(node_.worker) && !node_.leaving;
+    const std::uint32_t reported = node_.worker.newest ? node_.worker.newest->slots : node_.settings.slots;
+    const std::uint32_t slots = takes ? reported : 0;
+    membership& nodes = node_.control.nodes;
+    if (nodes.self.slots == slots || node_.leaving) {
+        return;
+    }
+    healthy_ = takes;
+    node_.log.write(event_id::worker_health_changed, wall_now(), {{"health", why}});
+    const time_point now = monotonic_now();
+    nodes.self.slots = slots;
+    send_all(node_, set_own_state(nodes, member_state::alive, now).messages);
+    update_endpoint(node_.routing, nodes.self, now);
+}
+
 void worker_gate::probe_worker() {
-    const http_request health{EVHTTP_REQ_GET, "/health", {}, {}};
+    const http_request health{EVHTTP_REQ_GET, health_path(), {}, {}};
     exchange(node_.loop, node_.settings.worker, health, probe_timeout,
              [this](const http_answer& answer) { note_probe(answer); });
 }
 
 void worker_gate::note_probe(const http_answer& answer) {
+    if (node_.settings.heartbeats) {
+        if (answer.how == http_answer::delivery::not_connected) {
+            note_unreachable(node_.worker);
+            show_worker("unreachable");
+        }
+        return;
+    }
     if (answer.how == http_answer::delivery::not_connected) {
         set_health(false, "unreachable");
         return;
--- a/lib/standin/platform_service.cpp
+++ b/lib/standin/platform_service.cpp
@@ -2,13 +2,20 @@
 
 #include <algorithm>
 #include <charconv>
+#include <vector>
+
+#include <nlohmann/json.hpp>
 
 namespace waxwingfall::standin {
 
 namespace {
 
 constexpr milliseconds tick_period{5};
-constexpr std::size_t max_value_bytes = 1'000'000;
+constexpr std::size_t page_items = 500;
+constexpr int status_ok = 200;
+constexpr int status_absent = 404;
+constexpr int status_history_gone = 410;
+constexpr int status_revision_differs = 412;
 
 std::uint64_t number_in(const std::string& text) {
     std::uint64_t value = 0;
@@ -16,6 +23,15 @@
     return value;
 }
 
+void answer_json(evhttp_request* request, int status, const nlohmann::json& body) {
+    answer(request, status, body.dump(), {{"Content-Type", "application/json"}});
+}
+
+nlohmann::json item_of(const std::string& key, const std::string& value, std::uint64_t revision,
+                       std::uint64_t created, std::uint64_t lease) {
+    return {{"key", key}, {"value", value}, {"rev", revision}, {"created", created}, {"lease", lease}};
+}
+
 } // namespace
 
 platform_service::platform_service(const event_loop& loop, const ip_address& address)
@@ -46,110 +62,193 @@
 
 void platform_service::dispatch(evhttp_request* request) {
     const std::string path = request_path(request);
-    const evhttp_cmd_type method = evhttp_request_get_command(request);
-    if (path == "/v1/kv" && method == EVHTTP_REQ_GET) {
+    if (path == "/kv-key") {
         read(request);
-    } else if (path == "/v1/kv" && method == EVHTTP_REQ_PUT) {
-        write(request);
-    } else if (path == "/v1/list") {
+    } else if (path == "/kv-range") {
         list(request);
-    } else if (path.starts_with("/v1/lease")) {
+    } else if (path == "/kv-watch") {
+        watch_changes(request);
+    } else if (path == "/kv-txn") {
+        write(request);
+    } else if (path.starts_with("/kv-lease") || path.starts_with("/kv-keep/")) {
         change_lease(request);
     } else {
-        answer(request, 400, "unknown call\n");
+        answer(request, 400, "{\"error\":\"unknown call\"}");
     }
 }
 
-void platform_service::answer_value(evhttp_request* request, const std::string& key) {
+void platform_service::read(evhttp_request* request) {
+    counts_.reads += 1;
+    const std::string key = query_value(request, "key");
     const auto found = entries_.find(key);
     if (found == entries_.end()) {
-        answer(request, 404, "", {{"X-Revision", "0"}});
+        answer_json(request, status_absent, {{"as_of", revision_}});
         return;
     }
-    counts_.bytes_out += found->second.bytes.size();
-    answer(request, 200, found->second.bytes, {{"X-Revision", std::to_string(found->second.revision)}});
+    counts_.bytes_out += found->second.value.size();
+    auto item = item_of(found->first, found->second.value, found->second.revision, found->second.created,
+                        found->second.lease);
+    item["as_of"] = revision_;
+    answer_json(request, status_ok, item);
 }
 
-void platform_service::read(evhttp_request* request) {
-    const std::string key = query_value(request, "key");
-    const std::string watched = query_value(request, "watch");
-    if (watched.empty()) {
-        counts_.reads += 1;
-        answer_value(request, key);
-        return;
+void platform_service::list(evhttp_request* request) {
+    counts_.reads += 1;
+    const std::string prefix = query_value(request, "prefix");
+    const std::string after = query_value(request, "after");
+    nlohmann::json items = nlohmann::json::array();
+    bool has_more = false;
+    for (auto found = after.empty() ? entries_.lower_bound(prefix) : entries_.upper_bound(after);
+         found != entries_.end() && found->first.starts_with(prefix); ++found) {
+        if (items.size() == page_items) {
+            has_more = true;
+            break;
+        }
+        counts_.bytes_out += found->second.value.size();
+        items.push_back(item_of(found->first, found->second.value, found->second.revision,
+                                found->second.created, found->second.lease));
     }
+    answer_json(request, status_ok, {{"items", items}, {"has_more", has_more}, {"as_of", revision_}});
+}
+
+bool platform_service::answer_changes(const watch& waiting) {
+    nlohmann::json events = nlohmann::json::array();
+    for (const change& made : history_) {
+        if (made.revision <= waiting.after || !made.key.starts_with(waiting.prefix)) {
+            continue;
+        }
+        if (made.written) {
+            counts_.bytes_out += made.written->value.size();
+            events.push_back(item_of(made.key, made.written->value, made.revision, made.written->created,
+                                     made.written->lease));
+        } else {
+            events.push_back({{"key", made.key}, {"rev", made.revision}, {"deleted", true}});
+        }
+    }
+    if (events.empty()) {
+        return false;
+    }
+    answer_json(waiting.request, status_ok, {{"events", events}, {"as_of", revision_}});
+    return true;
+}
+
+void platform_service::watch_changes(evhttp_request* request) {
     counts_.watches += 1;
-    const std::uint64_t known = number_in(watched);
-    const auto found = entries_.find(key);
-    const std::uint64_t current = found == entries_.end() ? 0 : found->second.revision;
-    if (current != known) {
-        answer_value(request, key);
+    const std::uint64_t after = number_in(query_value(request, "after"));
+    if (after < forgotten_) {
+        answer_json(request, status_history_gone, nlohmann::json::object());
         return;
     }
     const milliseconds wait(static_cast<std::int64_t>(number_in(query_value(request, "wait_ms"))));
-    watches_.push_back({request, key, known, monotonic_now() + wait});
+    const watch waiting{request, query_value(request, "prefix"), after, monotonic_now() + wait};
+    if (!answer_changes(waiting)) {
+        watches_.push_back(waiting);
+    }
+}
+
+void platform_service::set(const std::string& key, std::string value, std::uint64_t lease) {
+    const auto known = entries_.find(key);
+    const std::uint64_t created = known == entries_.end() ? revision_ : known->second.created;
+    const entry written{std::move(value), revision_, created, lease};
+    entries_.insert_or_assign(key, written);
+    history_.push_back({revision_, key, written});
+}
+
+void platform_service::erase(const std::string& key) {
+    if (entries_.erase(key) > 0) {
+        history_.push_back({revision_, key, std::nullopt});
+    }
 }
 
 void platform_service::write(evhttp_request* request) {
     counts_.writes += 1;
-    const std::string key = query_value(request, "key");
-    const std::string expected = query_value(request, "expect");
-    const std::string lease_id = query_value(request, "lease");
-    const auto found = entries_.find(key);
-    const std::uint64_t current = found == entries_.end() ? 0 : found->second.revision;
-    if (!lease_id.empty() && !leases_.contains(lease_id)) {
-        answer(request, 404, "");
+    const auto body = nlohmann::json::parse(request_body(request), nullptr, false);
+    if (!body.is_object()) {
+        answer(request, 400, "{\"error\":\"not an object\"}");
         return;
     }
-    if (!expected.empty() && number_in(expected) != current) {
-        answer(request, 409, "", {{"X-Revision", std::to_string(current)}});
+    nlohmann::json current = nlohmann::json::array();
+    bool holds = true;
+    for (const auto& condition : body.value("expect_rev", nlohmann::json::array())) {
+        const std::string key = condition.at("key");
+        const auto found = entries_.find(key);
+        const std::uint64_t revision = found == entries_.end() ? 0 : found->second.revision;
+        holds = holds && revision == condition.at("rev").get<std::uint64_t>();
+        current.push_back({{"key", key}, {"rev", revision}});
+    }
+    if (!holds) {
+        answer_json(request, status_revision_differs, {{"items", current}});
         return;
     }
-    const std::string bytes = request_body(request);
-    if (bytes.size() > max_value_bytes) {
-        answer(request, 413, "");
+    const auto puts = body.value("puts", nlohmann::json::array());
+    const bool leased = std::all_of(puts.begin(), puts.end(), [&](const auto& put) {
+        const std::uint64_t lease = put.value("lease", std::uint64_t{0});
+        return lease == 0 || leases_.contains(lease);
+    });
+    if (!leased) {
+        answer_json(request, status_absent, nlohmann::json::object());
         return;
     }
-    entries_[key] = {bytes, ++revision_, lease_id};
+    ++revision_;
+    for (const auto& put : puts) {
+        set(put.at("key"), put.at("value"), put.value("lease", std::uint64_t{0}));
+    }
+    for (const auto& key : body.value("remove", nlohmann::json::array())) {
+        erase(key);
+    }
     if (lose_answers_ > 0) {
         lose_answers_ -= 1;
         drop_connection(request);
     } else {
-        answer(request, 200, "", {{"X-Revision", std::to_string(revision_)}});
+        answer_json(request, status_ok, {{"rev", revision_}});
     }
-    wake_watches(key);
-}
-
-void platform_service::list(evhttp_request* request) {
-    counts_.reads += 1;
-    const std::string prefix = query_value(request, "prefix");
-    std::string body;
-    for (auto found = entries_.lower_bound(prefix);
-         found != entries_.end() && found->first.starts_with(prefix); ++found) {
-        body += std::to_string(found->first.size()) + " " + std::to_string(found->second.revision) + " " +
-                std::to_string(found->second.bytes.size()) + "\n" + found->first + found->second.bytes;
-    }
-    counts_.bytes_out += body.size();
-    answer(request, 200, body);
+    wake_watches();
 }
 
 void platform_service::change_lease(evhttp_request* request) {
     counts_.lease_calls += 1;
     const time_point now = monotonic_now();
-    if (request_path(request) == "/v1/lease") {
-        const milliseconds lifetime(static_cast<std::int64_t>(number_in(query_value(request, "ttl_ms"))));
-        const std::string id = std::to_string(next_lease_++);
-        leases_[id] = {lifetime, now + lifetime};
-        answer(request, 200, "", {{"X-Lease", id}});
+    const std::string path = request_path(request);
+    if (path == "/kv-lease") {
+        const auto body = nlohmann::json::parse(request_body(request), nullptr, false);
+        const std::string text = body.is_object() ? body.value("ttl_time", "") : "";
+        const milliseconds lifetime(static_cast<std::int64_t>(number_in(text)));
+        leases_[next_lease_] = {lifetime, now + lifetime};
+        answer_json(request, status_ok, {{"lease", next_lease_}, {"ttl_time", text}});
+        ++next_lease_;
         return;
     }
-    const auto found = leases_.find(query_value(request, "lease"));
+    const std::uint64_t id = number_in(path.substr(path.rfind('/') + 1));
+    const auto found = leases_.find(id);
     if (found == leases_.end()) {
-        answer(request, 404, "");
+        answer_json(request, status_absent, nlohmann::json::object());
+        return;
+    }
+    if (path.starts_with("/kv-lease-end/")) {
+        leases_.erase(found);
+        end_leased(id);
+        answer_json(request, status_ok, nlohmann::json::object());
         return;
     }
     found->second.lapses = now + found->second.lifetime;
-    answer(request, 200, "", {{"X-Lease", found->first}});
+    answer_json(request, status_ok, {{"ttl_time", std::to_string(found->second.lifetime.count()) + "ms"}});
+}
+
+void platform_service::end_leased(std::uint64_t lease) {
+    std::vector<std::string> ended;
+    for (const auto& [key, held] : entries_) {
+        if (held.lease == lease) {
+            ended.push_back(key);
+        }
+    }
+    if (ended.empty()) {
+        return;
+    }
+    ++revision_;
+    for (const std::string& key : ended) {
+        erase(key);
+    }
+    wake_watches();
 }
 
 void platform_service::control(evhttp_request* request) {
@@ -170,6 +269,12 @@
     }
     if (!query_value(request, "restore").empty()) {
         entries_ = saved_;
+        history_.clear();
+        forgotten_ = ++revision_;
+    }
+    if (!query_value(request, "compact").empty()) {
+        history_.clear();
+        forgotten_ = revision_ + 1;
     }
     while (down_ && !watches_.empty()) {
         evhttp_request* waiting = watches_.front().request;
@@ -183,16 +288,8 @@
                ",\"bytes_out\":" + std::to_string(counts_.bytes_out) + "}\n");
 }
 
-void platform_service::wake_watches(const std::string& key) {
-    for (auto entry = watches_.begin(); entry != watches_.end();) {
-        if (entry->key != key) {
-            ++entry;
-            continue;
-        }
-        evhttp_request* request = entry->request;
-        entry = watches_.erase(entry);
-        answer_value(request, key);
-    }
+void platform_service::wake_watches() {
+    watches_.remove_if([this](const watch& waiting) { return answer_changes(waiting); });
 }
 
 void platform_service::tick() {
@@ -213,12 +310,18 @@
         }
         evhttp_request* request = entry->request;
         entry = watches_.erase(entry);
-        answer(request, 204, "");
+        answer_json(request, status_ok, {{"events", nlohmann::json::array()}, {"as_of", revision_}});
+    }
+    std::vector<std::uint64_t> lapsed;
+    for (const auto& [id, held] : leases_) {
+        if (now > held.lapses) {
+            lapsed.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : lapsed) {
+        leases_.erase(id);
+        end_leased(id);
     }
-    std::erase_if(leases_, [&](const auto& entry) { return now > entry.second.lapses; });
-    std::erase_if(entries_, [&](const auto& entry) {
-        return !entry.second.lease.empty() && !leases_.contains(entry.second.lease);
-    });
 }
 
 void platform_service::drop_closed(evhttp_connection* connection) {
--- a/lib/platform/head.cpp
+++ b/lib/store/head.cpp
@@ -1,4 +1,4 @@
-#include "waxwingfall/platform/head.h"
+#include "waxwingfall/store/head.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/lib/store/store_client.cpp
@@ -0,0 +1,223 @@
+#include "waxwingfall/store/store_client.h"
+
+#include <algorithm>
+#include <iterator>
+#include <memory>
+#include <optional>
+
+#include "waxwingfall/link/http.h"
+
+namespace waxwingfall {
+
+namespace {
+
+namespace wire_status = platform::store_answer_status;
+
+/// Added to a watch's wait for the answer to come.
+constexpr milliseconds watch_margin{3000};
+
+store_status status_of(const http_answer& answer) {
+    if (answer.how == http_answer::delivery::not_connected) {
+        return store_status::not_reached;
+    }
+    if (answer.how == http_answer::delivery::lost) {
+        return store_status::unknown;
+    }
+    switch (answer.status) {
+    case wire_status::ok:
+        return store_status::ok;
+    case wire_status::absent:
+        return store_status::absent;
+    case wire_status::revision_differs:
+        return store_status::conflict;
+    default:
+        return store_status::not_reached;
+    }
+}
+
+/// Sends a request and hands the answer's status and body to `take`.
+void call(const store_client& client, const http_request& request, milliseconds timeout,
+          std::function<void(store_answer, const http_answer&)> take) {
+    exchange(*client.loop, client.address, request, timeout,
+             [take = std::move(take)](const http_answer& answer) {
+                 store_answer result;
+                 result.status = status_of(answer);
+                 take(std::move(result), answer);
+             });
+}
+
+/// An answer that can't be read proves neither that a write took effect nor that it did not.
+store_answer unreadable() {
+    store_answer answer;
+    answer.status = store_status::unknown;
+    return answer;
+}
+
+struct listing {
+    store_client client;
+    std::string prefix;
+    store_callback done;
+    std::vector<stored_value> values;
+};
+
+void list_page(const std::shared_ptr<listing>& state) {
+    const std::string after = state->values.empty() ? std::string() : state->values.back().key;
+    call(state->client, platform::encode_list(state->prefix, after), state->client.timeout,
+         [state](store_answer result, const http_answer& answer) {
+             if (result.status != store_status::ok) {
+                 state->done(result);
+                 return;
+             }
+             auto page = platform::decode_page(answer.body);
+             if (!page) {
+                 state->done(unreadable());
+                 return;
+             }
+             const bool has_more = page->has_more && !page->values.empty();
+             std::move(page->values.begin(), page->values.end(), std::back_inserter(state->values));
+             if (has_more) {
+                 list_page(state);
+                 return;
+             }
+             result.listed = std::move(state->values);
+             state->done(result);
+         });
+}
+
+/// The newest change of `key` among those of a watch; nothing if it did not change.
+std::optional<stored_value> newest_change(const stored_changes& changes, const std::string& key) {
+    std::optional<stored_value> newest;
+    for (const stored_value& change : changes.values) {
+        if (change.key == key) {
+            newest = change;
+        }
+    }
+    return newest;
+}
+
+/// Reads a key as a list of one: unlike the answer about an absent key, a list always names the store's revision.
+void read_current(const store_client& client, const std::string& key, store_callback done) {
+    call(client, platform::encode_list(key, {}), client.timeout,
+         [key, done = std::move(done)](store_answer result, const http_answer& answer) {
+             if (result.status != store_status::ok) {
+                 done(result);
+                 return;
+             }
+             const auto page = platform::decode_page(answer.body);
+             if (!page) {
+                 done(unreadable());
+                 return;
+             }
+             const auto found = std::find_if(page->values.begin(), page->values.end(),
+                                             [&](const stored_value& value) { return value.key == key; });
+             result.store_revision = page->store_revision;
+             result.status = found == page->values.end() ? store_status::absent : store_status::ok;
+             result.value = found == page->values.end() ? stored_value{key, {}, 0} : *found;
+             done(result);
+         });
+}
+
+void write(const store_client& client, const store_write& wanted, store_callback done) {
+    call(client, platform::encode_write(wanted), client.timeout,
+         [wanted, done = std::move(done)](store_answer result, const http_answer& answer) {
+             if (result.status == store_status::ok) {
+                 const auto revision = platform::decode_written_revision(answer.body);
+                 if (!revision) {
+                     done(unreadable());
+                     return;
+                 }
+                 result.value = {wanted.key, wanted.bytes, *revision};
+             }
+             done(result);
+         });
+}
+
+} // namespace
+
+void read_value(const store_client& client, const std::string& key, store_callback done) {
+    call(client, platform::encode_read(key), client.timeout,
+         [key, done = std::move(done)](store_answer result, const http_answer& answer) {
+             result.value.key = key;
+             if (result.status == store_status::ok) {
+                 auto value = platform::decode_value(answer.body);
+                 if (!value) {
+                     done(unreadable());
+                     return;
+                 }
+                 result.value = std::move(*value);
+             }
+             done(result);
+         });
+}
+
+void list_values(const store_client& client, const std::string& prefix, store_callback done) {
+    list_page(std::make_shared<listing>(listing{client, prefix, std::move(done), {}}));
+}
+
+void watch_value(const store_client& client, const std::string& key, std::uint64_t known, milliseconds wait,
+                 store_callback done) {
+    if (known == 0) {
+        read_current(client, key, std::move(done));
+        return;
+    }
+    call(client, platform::encode_watch(key, known, wait), wait + watch_margin,
+         [client, key, done = std::move(done)](store_answer result, const http_answer& answer) {
+             if (answer.how == http_answer::delivery::answered && answer.status == wire_status::history_gone) {
+                 read_current(client, key, done);
+                 return;
+             }
+             if (result.status != store_status::ok) {
+                 done(result);
+                 return;
+             }
+             const auto changes = platform::decode_changes(answer.body);
+             if (!changes) {
+                 done(unreadable());
+                 return;
+             }
+             result.store_revision = changes->store_revision;
+             const auto change = newest_change(*changes, key);
+             result.status = !change                 ? store_status::unchanged
+                             : change->revision == 0 ? store_status::absent
+                                                     : store_status::ok;
+             result.value = change.value_or(stored_value{key, {}, 0});
+             done(result);
+         });
+}
+
+void write_value(const store_client& client, const std::string& key, std::uint64_t expected,
+                 const std::string& bytes, const std::string& lease, store_callback done) {
+    write(client, {key, bytes, lease, expected}, std::move(done));
+}
+
+void overwrite_value(const store_client& client, const std::string& key, const std::string& bytes,
+                     const std::string& lease, store_callback done) {
+    write(client, {key, bytes, lease, std::nullopt}, std::move(done));
+}
+
+void grant_lease(const store_client& client, milliseconds lifetime, store_callback done) {
+    call(client, platform::encode_lease(lifetime), client.timeout,
+         [done = std::move(done)](store_answer result, const http_answer& answer) {
+             if (result.status == store_status::ok) {
+                 const auto lease = platform::decode_lease(answer.body);
+                 if (!lease) {
+                     done(unreadable());
+                     return;
+                 }
+                 result.lease = *lease;
+             }
+             done(result);
+         });
+}
+
+void renew_lease(const store_client& client, const std::string& lease, store_callback done) {
+    call(client, platform::encode_renewal(lease), client.timeout,
+         [done = std::move(done)](const store_answer& result, const http_answer&) { done(result); });
+}
+
+void end_lease(const store_client& client, const std::string& lease, store_callback done) {
+    call(client, platform::encode_lease_end(lease), client.timeout,
+         [done = std::move(done)](const store_answer& result, const http_answer&) { done(result); });
+}
+
+} // namespace waxwingfall
--- a/lib/support/error.cpp
+++ b/lib/support/error.cpp
@@ -87,6 +87,8 @@
                  "requests like this one crashed workers"},
     error_answer{worker_unreachable, "worker-unreachable", 503, outcome::not_run, exit_unavailable,
                  "the worker can't be reached"},
+    error_answer{worker_refused, "worker-refused", 503, outcome::not_run, exit_unavailable,
+                 "the worker refused the request"},
     error_answer{worker_failed, "worker-failed", 502, outcome::unknown, exit_unavailable,
                  "the worker failed while it ran the request"},
     error_answer{worker_crashed, "worker-crashed", 502, outcome::unknown, exit_unavailable,
--- a/lib/support/event_log.cpp
+++ b/lib/support/event_log.cpp
@@ -42,6 +42,10 @@
     event_row{worker_crashed, "worker-crashed", "error"},
     event_row{request_quarantined, "request-quarantined", "error"},
     event_row{worker_health_changed, "worker-health-changed", "info"},
+    event_row{worker_reported, "worker-reported", "info"},
+    event_row{worker_report_ignored, "worker-report-ignored", "warn"},
+    event_row{call_failed, "call-failed", "warn"},
+    event_row{request_refused, "request-refused", "info"},
 };
 
 const event_row& row_of(event_id id) {
@@ -85,7 +89,7 @@
     const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
     if (path.empty()) {
         const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout);
-        console->setTarget("System.err");
+        console->setTarget("System.out");
         log4cxx::helpers::Pool pool;
         console->activateOptions(pool);
         root->addAppender(console);
--- a/unittests/platform/head_test.cpp
+++ b/unittests/store/head_test.cpp
@@ -6,7 +6,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "waxwingfall/platform/head.h"
+#include "waxwingfall/store/head.h"
 #include "waxwingfall/support/digest.h"
 
 using namespace waxwingfall;
