Workers' connections on http-parser, and a leave that names no start

Change: answers are told apart by the echoed id and others skipped; extra bytes, early answers and short keep-alives end a connection; an answer without a length is whole only after an orderly end (its test said lost for both; the replaced one wants lost after a reset).

--- a/include/waxwingfall/machine/upstream.h
+++ b/include/waxwingfall/machine/upstream.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,9 +39,9 @@
     upstream_pool& operator=(const upstream_pool&) = delete;
 
     /// Sends a request and returns its number. The timeout covers each wait for the other side. Nothing is
-    /// ever sent again.
+    /// ever sent again. An answer belongs to the request only if it repeats the header `echo`; others are skipped.
     std::uint64_t send(const ip_address& address, const http_request& request, milliseconds timeout,
-                       upstream_callbacks callbacks);
+                       upstream_callbacks callbacks, const std::optional<http_header>& echo = std::nullopt);
 
     /// Ends a request without further callbacks and closes its connection.
     void cancel(std::uint64_t id);
@@ -52,30 +53,33 @@
     /// Closes connections that lay idle for longer than the reuse limit.
     void close_idle(time_point now);
 
-    std::size_t open_connections() const { return open_; }
+    std::size_t open_connections() const;
+
+    /// Wait for a connection to stand, after which nothing was sent. Connections between data centres take 7 ms, and
+    /// a lost opening packet is sent again after a second, too late for most requests.
+    static constexpr milliseconds connect_timeout{400};
+
+    struct connection;
 
 private:
     struct active;
-    struct idle_connection {
-        evhttp_connection* connection = nullptr;
-        time_point since;
-    };
 
-    evhttp_connection* take_connection(const ip_address& address);
+    std::shared_ptr<connection> take_connection(const ip_address& address, time_point now);
+    void connect(active& request);
+    void write_request(active& request);
     void finish(active& request, upstream_end end);
-    void discard(evhttp_connection* connection);
-    void bury(std::unique_ptr<active> ended);
-    static int on_headers(evhttp_request* raw, void* context);
-    static void on_chunk(evhttp_request* raw, void* context);
-    static void on_error(evhttp_request_error error, void* context);
-    static void on_done(evhttp_request* raw, void* context);
+    void keep(const std::shared_ptr<connection>& carrier);
+    void forget_idle(const connection& broken);
+    void deliver(connection& reader, bool is_malformed);
+    static void on_readable(bufferevent* stream, void* context);
+    static void on_event(bufferevent* stream, short what, void* context);
 
     const event_loop& loop_;
     milliseconds reuse_limit_;
-    std::map<ip_address, std::vector<idle_connection>> idle_;
+    std::map<ip_address, std::vector<std::shared_ptr<connection>>> idle_;
     std::map<std::uint64_t, std::unique_ptr<active>> active_;
+    std::vector<loop_event> failed_starts_;
     std::uint64_t next_id_ = 1;
-    std::size_t open_ = 0;
 };
 
 } // namespace waxwingfall
--- a/include/waxwingfall/machine/worker_gate.h
+++ b/include/waxwingfall/machine/worker_gate.h
@@ -2,6 +2,7 @@
 #define WAXWINGFALL_MACHINE_WORKER_GATE_H
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -67,6 +68,7 @@
 
     node_context& node_;
     admission admission_;
+    std::deque<admission_turn> turns_; ///< decided and not carried out
     upstream_pool worker_;
     std::map<std::uint64_t, std::unique_ptr<request>> requests_;
     std::uint64_t next_id_ = 1;
--- a/lib/call/worker_view.cpp
+++ b/lib/call/worker_view.cpp
@@ -9,7 +9,8 @@
         return view.former_ids.contains(report.worker_id);
     }
     const worker_report& known = *view.newest;
-    if (report.incarnation != known.incarnation) {
+    const bool names_no_start = report.state == worker_state::left && report.incarnation == 0;
+    if (!names_no_start && report.incarnation != known.incarnation) {
         return report.incarnation < known.incarnation;
     }
     if (report.worker_id != known.worker_id) {
@@ -22,7 +23,8 @@
 
 bool is_same_worker(const worker_view& view, const worker_report& report) {
     return view.worker_id == report.worker_id &&
-           (!view.newest || view.newest->incarnation == report.incarnation);
+           (!view.newest || report.state == worker_state::left ||
+            view.newest->incarnation == report.incarnation);
 }
 
 } // namespace
@@ -51,7 +53,11 @@
     // A worker never takes back that it leaves.
     view.leaving = view.leaving || leaves;
     view.worker_id = report.worker_id;
-    view.newest = report;
+    if (report.state != worker_state::left || !view.newest) {
+        view.newest = report;
+    } else {
+        view.newest->state = worker_state::left;
+    }
     view.reachable = true;
     view.last_heard = now;
     return report_verdict::taken;
--- a/lib/link/http.cpp
+++ b/lib/link/http.cpp
@@ -1,5 +1,7 @@
 #include "waxwingfall/link/http.h"
 
+#include "waxwingfall/link/socket_options.h"
+
 #include <stdexcept>
 
 #include <event2/buffer.h>
@@ -92,7 +94,9 @@
                 failed->done({});
             },
             pending, nullptr);
+        return;
     }
+    set_stream_options(bufferevent_getfd(evhttp_connection_get_bufferevent(pending->connection)));
 }
 
 http_server::http_server(const event_loop& loop, const ip_address& address, handler on_request)
--- a/lib/machine/upstream.cpp
+++ b/lib/machine/upstream.cpp
@@ -1,226 +1,431 @@
 #include "waxwingfall/machine/upstream.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <event2/bufferevent.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
+#include <http_parser.h>
+
+#include "waxwingfall/link/socket_options.h"
+#include "waxwingfall/machine/downstream.h"
 
 namespace waxwingfall {
 
 namespace {
 
-constexpr std::int64_t max_answer_headers = 64L * 1024;
+constexpr std::uint32_t max_answer_headers = 64U * 1024;
+constexpr int first_final_status = 200;
+constexpr std::int64_t ms_per_s = 1000;
 
-std::vector<http_header> copy_headers(const evkeyvalq* from) {
-    std::vector<http_header> headers;
-    for (const evkeyval* header = from->tqh_first; header != nullptr; header = header->next.tqe_next) {
-        headers.push_back({header->key, header->value});
-    }
-    return headers;
+/// Taken off the idle time that the other side promises: a request that crosses the close may be lost.
+constexpr milliseconds idle_margin{1000};
+
+timeval as_timeval(milliseconds length) {
+    return {length.count() / ms_per_s, (length.count() % ms_per_s) * ms_per_s};
 }
 
-/// True if the end of the answer can be told from a connection that broke.
-bool length_is_known(evhttp_request* raw) {
-    const int status = evhttp_request_get_response_code(raw);
-    constexpr int no_content = 204;
-    constexpr int not_modified = 304;
-    const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
-    return status == no_content || status == not_modified ||
-           evhttp_request_get_command(raw) == EVHTTP_REQ_HEAD ||
-           evhttp_find_header(headers, "Content-Length") != nullptr ||
-           evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+/// The idle time in a Keep-Alive header such as "timeout=5", or `fallback`.
+milliseconds promised_idle(const std::vector<http_header>& headers, milliseconds fallback) {
+    const std::string text = header_value(headers, "Keep-Alive");
+    constexpr std::string_view name = "timeout=";
+    const auto at = text.find(name);
+    if (at == std::string::npos) {
+        return fallback;
+    }
+    std::int64_t seconds = 0;
+    const char* start = text.data() + at + name.size();
+    if (std::from_chars(start, text.data() + text.size(), seconds).ec != std::errc{}) {
+        return fallback;
+    }
+    return std::min(fallback, std::max(milliseconds(0), milliseconds(seconds * ms_per_s) - idle_margin));
 }
 
-void free_later(event_base* base, evhttp_connection* connection) {
-    // A connection may not be freed inside its own callback.
-    event_base_once(
-        base, -1, EV_TIMEOUT,
-        [](evutil_socket_t, short, void* context) {
-            evhttp_connection_free(static_cast<evhttp_connection*>(context));
-        },
-        connection, nullptr);
+std::string request_head(const http_request& request) {
+    std::string head = std::string(method_name(request.method)) + " " + request.path + " HTTP/1.1\r\n";
+    for (const http_header& header : request.headers) {
+        head += header.name + ": " + header.value + "\r\n";
+    }
+    return head + "\r\n";
 }
 
 } // namespace
 
+/// A request that waits for its answer.
 struct upstream_pool::active {
-    upstream_pool* pool = nullptr;
     std::uint64_t id = 0;
-    ip_address address;
-    evhttp_connection* connection = nullptr;
-    evhttp_request* raw = nullptr;
+    http_request request;
+    milliseconds timeout{0};
+    std::string echo_name;
+    std::string echo_value;
     upstream_callbacks callbacks;
-    bool failed_after_connect = false;
-    bool length_unknown = false;
+    std::shared_ptr<connection> carrier;
+};
+
+/// One connection with the state of the answer that it reads. The parser's callbacks only note what they met;
+/// `deliver` hands it on once the parser has returned, because a receiver may end the request.
+struct upstream_pool::connection {
+    upstream_pool* pool = nullptr;
+    ip_address address;
+    bufferevent* stream = nullptr;
+    evbuffer* body = nullptr;
+    http_parser parser{};
+    std::uint64_t current = 0; ///< the request that it carries; 0 while it is idle
+    bool connected = false;
+    bool awaited = false;  ///< the answer being read is that of `current`
+    bool is_head = false;  ///< the answer to a HEAD request has no body
+    bool headers_ready = false;
+    bool headers_given = false;
+    bool complete = false;
+    std::string field;
+    std::string value;
+    bool in_value = false;
+    std::vector<http_header> headers;
+    std::string echo_name;
+    std::string echo_value;
+    milliseconds reuse_limit{0};
+    time_point idle_since;
+    std::weak_ptr<connection> self;
+
+    connection() = default;
+    ~connection() {
+        if (stream != nullptr) {
+            bufferevent_free(stream);
+        }
+        evbuffer_free(body);
+    }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+    void close() {
+        if (stream != nullptr) {
+            bufferevent_free(stream);
+            stream = nullptr;
+        }
+    }
+    void store_header() {
+        if (!field.empty()) {
+            headers.push_back({std::move(field), std::move(value)});
+        }
+        field.clear();
+        value.clear();
+        in_value = false;
+    }
 };
 
+namespace {
+
+upstream_pool::connection& owner_of(http_parser* parser) {
+    return *static_cast<upstream_pool::connection*>(parser->data);
+}
+
+int on_begin(http_parser* parser) {
+    upstream_pool::connection& reader = owner_of(parser);
+    reader.headers.clear();
+    reader.field.clear();
+    reader.value.clear();
+    reader.in_value = false;
+    reader.awaited = false;
+    return 0;
+}
+
+int on_field(http_parser* parser, const char* at, std::size_t size) {
+    upstream_pool::connection& reader = owner_of(parser);
+    if (reader.in_value) {
+        reader.store_header();
+    }
+    reader.field.append(at, size);
+    return 0;
+}
+
+int on_value(http_parser* parser, const char* at, std::size_t size) {
+    upstream_pool::connection& reader = owner_of(parser);
+    reader.in_value = true;
+    reader.value.append(at, size);
+    return 0;
+}
+
+int on_headers_complete(http_parser* parser) {
+    upstream_pool::connection& reader = owner_of(parser);
+    reader.store_header();
+    const bool is_final = parser->status_code >= first_final_status;
+    // An answer to an earlier request may still come; the echoed header tells them apart.
+    const bool is_own = reader.echo_name.empty() ||
+                        header_value(reader.headers, reader.echo_name) == reader.echo_value;
+    reader.awaited = is_final && is_own;
+    reader.headers_ready = reader.awaited;
+    return reader.is_head ? 1 : 0;
+}
+
+int on_body(http_parser* parser, const char* at, std::size_t size) {
+    upstream_pool::connection& reader = owner_of(parser);
+    if (reader.awaited) {
+        evbuffer_add(reader.body, at, size);
+    }
+    return 0;
+}
+
+int on_message_complete(http_parser* parser) {
+    upstream_pool::connection& reader = owner_of(parser);
+    if (reader.awaited) {
+        reader.complete = true;
+        http_parser_pause(parser, 1);
+    }
+    return 0;
+}
+
+const http_parser_settings& parser_settings() {
+    static const http_parser_settings settings = [] {
+        http_parser_settings made;
+        http_parser_settings_init(&made);
+        made.on_message_begin = on_begin;
+        made.on_header_field = on_field;
+        made.on_header_value = on_value;
+        made.on_headers_complete = on_headers_complete;
+        made.on_body = on_body;
+        made.on_message_complete = on_message_complete;
+        return made;
+    }();
+    return settings;
+}
+
+} // namespace
+
 upstream_pool::upstream_pool(const event_loop& loop, milliseconds reuse_limit)
-    : loop_(loop), reuse_limit_(reuse_limit) {}
+    : loop_(loop), reuse_limit_(reuse_limit) {
+    http_parser_set_max_header_size(max_answer_headers);
+}
 
 upstream_pool::~upstream_pool() {
     while (!active_.empty()) {
         cancel(active_.begin()->first);
     }
-    for (auto& [address, connections] : idle_) {
-        for (const idle_connection& idle : connections) {
-            evhttp_connection_free(idle.connection);
-        }
-    }
 }
 
-evhttp_connection* upstream_pool::take_connection(const ip_address& address) {
+std::shared_ptr<upstream_pool::connection> upstream_pool::take_connection(const ip_address& address,
+                                                                          time_point now) {
     auto& connections = idle_[address];
-    const time_point now = monotonic_now();
     while (!connections.empty()) {
-        const idle_connection last = connections.back();
+        const std::shared_ptr<connection> last = connections.back();
         connections.pop_back();
-        if (now - last.since <= reuse_limit_) {
-            return last.connection;
+        if (now - last->idle_since <= last->reuse_limit) {
+            return last;
         }
-        discard(last.connection);
+        last->close();
     }
-    evhttp_connection* made =
-        evhttp_connection_base_new(loop_.base(), nullptr, address.host.c_str(), address.port);
-    evhttp_connection_set_max_headers_size(made, max_answer_headers);
-    open_ += 1;
+    auto made = std::make_shared<connection>();
+    made->pool = this;
+    made->address = address;
+    made->body = evbuffer_new();
+    made->self = made;
+    http_parser_init(&made->parser, HTTP_RESPONSE);
+    made->parser.data = made.get();
     return made;
 }
 
-void upstream_pool::discard(evhttp_connection* connection) {
-    open_ -= 1;
-    free_later(loop_.base(), connection);
-}
-
 std::uint64_t upstream_pool::send(const ip_address& address, const http_request& request,
-                                  milliseconds timeout, upstream_callbacks callbacks) {
+                                  milliseconds timeout, upstream_callbacks callbacks,
+                                  const std::optional<http_header>& echo) {
     const std::uint64_t id = next_id_++;
     auto made = std::make_unique<active>();
-    made->pool = this;
     made->id = id;
-    made->address = address;
-    made->connection = take_connection(address);
+    made->request = request;
+    made->timeout = timeout;
     made->callbacks = std::move(callbacks);
-    constexpr std::int64_t thousand = 1000;
-    const timeval limit{timeout.count() / thousand, (timeout.count() % thousand) * thousand};
-    evhttp_connection_set_timeout_tv(made->connection, &limit);
-    made->raw = evhttp_request_new(on_done, made.get());
-    evhttp_request_set_header_cb(made->raw, on_headers);
-    evhttp_request_set_chunked_cb(made->raw, on_chunk);
-    evhttp_request_set_error_cb(made->raw, on_error);
-    evkeyvalq* headers = evhttp_request_get_output_headers(made->raw);
-    for (const http_header& header : request.headers) {
-        evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
-    }
-    if (!request.body.empty()) {
-        evbuffer_add(evhttp_request_get_output_buffer(made->raw), request.body.data(), request.body.size());
-    }
-    active* started = made.get();
+    made->carrier = take_connection(address, monotonic_now());
+    connection& carrier = *made->carrier;
+    carrier.current = id;
+    carrier.echo_name = echo ? echo->name : std::string();
+    carrier.echo_value = echo ? echo->value : std::string();
+    carrier.is_head = request.method == EVHTTP_REQ_HEAD;
+    carrier.headers_ready = false;
+    carrier.headers_given = false;
+    carrier.complete = false;
+    active& started = *made;
     active_.emplace(id, std::move(made));
-    if (evhttp_make_request(started->connection, started->raw, request.method, request.path.c_str()) != 0) {
-        event_base_once(
-            loop_.base(), -1, EV_TIMEOUT,
-            [](evutil_socket_t, short, void* context) {
-                auto* failed = static_cast<active*>(context);
-                failed->pool->finish(*failed, upstream_end::not_connected);
-            },
-            started, nullptr);
+    if (carrier.connected) {
+        write_request(started);
+    } else {
+        connect(started);
     }
     return id;
 }
 
+void upstream_pool::connect(active& request) {
+    connection& carrier = *request.carrier;
+    carrier.stream = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(carrier.stream, on_readable, nullptr, on_event, &carrier);
+    const timeval limit = as_timeval(std::min(request.timeout, connect_timeout));
+    bufferevent_set_timeouts(carrier.stream, nullptr, &limit);
+    const auto target = socket_address(carrier.address);
+    if (bufferevent_socket_connect(carrier.stream, reinterpret_cast<const sockaddr*>(&target),
+                                   sizeof(target)) != 0) {
+        const std::uint64_t id = request.id;
+        failed_starts_.push_back(loop_event::after(loop_, milliseconds(0), [this, id] {
+            if (const auto found = active_.find(id); found != active_.end()) {
+                finish(*found->second, upstream_end::not_connected);
+            }
+        }));
+        return;
+    }
+    set_stream_options(bufferevent_getfd(carrier.stream));
+}
+
+void upstream_pool::write_request(active& request) {
+    connection& carrier = *request.carrier;
+    const timeval limit = as_timeval(request.timeout);
+    bufferevent_set_timeouts(carrier.stream, &limit, &limit);
+    bufferevent_enable(carrier.stream, EV_READ | EV_WRITE);
+    const std::string head = request_head(request.request);
+    bufferevent_write(carrier.stream, head.data(), head.size());
+    bufferevent_write(carrier.stream, request.request.body.data(), request.request.body.size());
+    request.request = {};
+}
+
 void upstream_pool::finish(active& request, upstream_end end) {
     const auto found = active_.find(request.id);
     const std::unique_ptr<active> ended = std::move(found->second);
     active_.erase(found);
-    if (end == upstream_end::complete) {
-        idle_[ended->address].push_back({ended->connection, monotonic_now()});
+    connection& carrier = *ended->carrier;
+    carrier.current = 0;
+    // An answer that came before the whole request was written leaves bytes behind that belong to no request.
+    const bool is_clean = end == upstream_end::complete && carrier.stream != nullptr &&
+                          http_should_keep_alive(&carrier.parser) != 0 &&
+                          evbuffer_get_length(bufferevent_get_output(carrier.stream)) == 0 &&
+                          evbuffer_get_length(bufferevent_get_input(carrier.stream)) == 0;
+    carrier.reuse_limit = promised_idle(carrier.headers, reuse_limit_);
+    if (is_clean && carrier.reuse_limit.count() > 0) {
+        keep(ended->carrier);
     } else {
-        discard(ended->connection);
+        carrier.close();
     }
     ended->callbacks.on_end(end);
 }
 
+void upstream_pool::keep(const std::shared_ptr<connection>& carrier) {
+    http_parser_pause(&carrier->parser, 0);
+    http_parser_init(&carrier->parser, HTTP_RESPONSE);
+    carrier->parser.data = carrier.get();
+    carrier->headers.clear();
+    evbuffer_drain(carrier->body, evbuffer_get_length(carrier->body));
+    carrier->idle_since = monotonic_now();
+    bufferevent_set_timeouts(carrier->stream, nullptr, nullptr);
+    bufferevent_enable(carrier->stream, EV_READ);
+    idle_[carrier->address].push_back(carrier);
+}
+
 void upstream_pool::cancel(std::uint64_t id) {
     const auto found = active_.find(id);
     if (found == active_.end()) {
         return;
     }
-    std::unique_ptr<active> ended = std::move(found->second);
+    found->second->carrier->current = 0;
+    found->second->carrier->close();
     active_.erase(found);
-    // The request may be inside one of its own callbacks; its connection frees it a little later.
-    evhttp_request_set_chunked_cb(ended->raw, nullptr);
-    evhttp_request_set_header_cb(ended->raw, nullptr);
-    evhttp_request_set_error_cb(ended->raw, nullptr);
-    ended->raw->cb = [](evhttp_request*, void*) {};
-    discard(ended->connection);
-    bury(std::move(ended));
-}
-
-void upstream_pool::bury(std::unique_ptr<active> ended) {
-    // Its callbacks may be running; they go with the next turn of the loop.
-    event_base_once(
-        loop_.base(), -1, EV_TIMEOUT,
-        [](evutil_socket_t, short, void* context) { delete static_cast<active*>(context); }, ended.release(),
-        nullptr);
 }
 
 void upstream_pool::pause(std::uint64_t id) {
     const auto found = active_.find(id);
-    if (found != active_.end()) {
-        bufferevent_disable(evhttp_connection_get_bufferevent(found->second->connection), EV_READ);
+    if (found != active_.end() && found->second->carrier->stream != nullptr) {
+        bufferevent_disable(found->second->carrier->stream, EV_READ);
     }
 }
 
 void upstream_pool::resume(std::uint64_t id) {
     const auto found = active_.find(id);
-    if (found != active_.end()) {
-        bufferevent_enable(evhttp_connection_get_bufferevent(found->second->connection), EV_READ);
+    if (found != active_.end() && found->second->carrier->stream != nullptr) {
+        bufferevent_enable(found->second->carrier->stream, EV_READ);
     }
 }
 
 void upstream_pool::close_idle(time_point now) {
     for (auto& [address, connections] : idle_) {
-        std::erase_if(connections, [&](const idle_connection& idle) {
-            const bool old = now - idle.since > reuse_limit_;
-            if (old) {
-                discard(idle.connection);
-            }
-            return old;
+        std::erase_if(connections, [&](const std::shared_ptr<connection>& idle) {
+            return now - idle->idle_since > idle->reuse_limit;
         });
     }
     std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+    failed_starts_.clear();
 }
 
-int upstream_pool::on_headers(evhttp_request* raw, void* context) {
-    auto* request = static_cast<active*>(context);
-    if (!length_is_known(raw)) {
-        request->length_unknown = true;
-        return -1;
+std::size_t upstream_pool::open_connections() const {
+    std::size_t open = active_.size();
+    for (const auto& [address, connections] : idle_) {
+        open += connections.size();
     }
-    request->callbacks.on_headers(evhttp_request_get_response_code(raw),
-                                  copy_headers(evhttp_request_get_input_headers(raw)));
-    return 0;
+    return open;
 }
 
-void upstream_pool::on_chunk(evhttp_request* raw, void* context) {
-    static_cast<active*>(context)->callbacks.on_data(evhttp_request_get_input_buffer(raw));
+void upstream_pool::forget_idle(const connection& broken) {
+    auto& connections = idle_[broken.address];
+    std::erase_if(connections,
+                  [&](const std::shared_ptr<connection>& idle) { return idle.get() == &broken; });
 }
 
-void upstream_pool::on_error(evhttp_request_error /*error*/, void* context) {
-    // Not called for a connection that was never made.
-    static_cast<active*>(context)->failed_after_connect = true;
+void upstream_pool::on_readable(bufferevent* stream, void* context) {
+    const std::shared_ptr<connection> reader = static_cast<connection*>(context)->self.lock();
+    upstream_pool& pool = *reader->pool;
+    if (reader->current == 0) {
+        // Bytes that nobody asked for.
+        reader->close();
+        pool.forget_idle(*reader);
+        return;
+    }
+    evbuffer* input = bufferevent_get_input(stream);
+    bool is_malformed = false;
+    while (!reader->complete && !is_malformed && evbuffer_get_length(input) > 0) {
+        evbuffer_iovec piece{};
+        evbuffer_peek(input, -1, nullptr, &piece, 1);
+        const std::size_t used = http_parser_execute(&reader->parser, &parser_settings(),
+                                                     static_cast<const char*>(piece.iov_base), piece.iov_len);
+        const http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
+        evbuffer_drain(input, used);
+        is_malformed = error != HPE_OK && error != HPE_PAUSED;
+    }
+    pool.deliver(*reader, is_malformed);
 }
 
-void upstream_pool::on_done(evhttp_request* raw, void* context) {
-    auto* request = static_cast<active*>(context);
-    const bool answered = raw != nullptr && evhttp_request_get_response_code(raw) != 0;
-    if (answered && !request->failed_after_connect && !request->length_unknown) {
-        request->pool->finish(*request, upstream_end::complete);
+void upstream_pool::deliver(connection& reader, bool is_malformed) {
+    const std::uint64_t id = reader.current;
+    const auto is_open = [&] { return active_.contains(id); };
+    if (is_open() && reader.headers_ready && !reader.headers_given) {
+        reader.headers_given = true;
+        active_.at(id)->callbacks.on_headers(static_cast<int>(reader.parser.status_code), reader.headers);
+    }
+    if (is_open() && evbuffer_get_length(reader.body) > 0) {
+        active_.at(id)->callbacks.on_data(reader.body);
+    }
+    if (is_open() && reader.complete) {
+        finish(*active_.at(id), upstream_end::complete);
+    } else if (is_open() && is_malformed) {
+        finish(*active_.at(id), upstream_end::lost);
+    }
+}
+
+void upstream_pool::on_event(bufferevent* /*stream*/, short what, void* context) {
+    const std::shared_ptr<connection> reader = static_cast<connection*>(context)->self.lock();
+    upstream_pool& pool = *reader->pool;
+    if (reader->current == 0) {
+        reader->close();
+        pool.forget_idle(*reader);
+        return;
+    }
+    active& request = *pool.active_.at(reader->current);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        reader->connected = true;
+        pool.write_request(request);
+        return;
+    }
+    if (!reader->connected) {
+        pool.finish(request, upstream_end::not_connected);
+        return;
+    }
+    if ((what & BEV_EVENT_EOF) != 0) {
+        // The end of a connection is the end of an answer without a length.
+        http_parser_execute(&reader->parser, &parser_settings(), nullptr, 0);
+        pool.deliver(*reader, !reader->complete);
         return;
     }
-    const bool sent = raw == nullptr || answered || request->failed_after_connect || request->length_unknown;
-    request->pool->finish(*request, sent ? upstream_end::lost : upstream_end::not_connected);
+    pool.finish(request, upstream_end::lost);
 }
 
 } // namespace waxwingfall
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -152,7 +152,12 @@
     };
     callbacks.on_data = [this, id](evbuffer* data) { on_data(id, data); };
     callbacks.on_end = [this, id](upstream_end end) { on_end(id, end); };
-    started.upstream = worker_.send(node_.settings.worker, sent, milliseconds(left), std::move(callbacks));
+    const std::string attempt = header_value(sent.headers, platform::header::attempt_id);
+    const auto echo =
+        attempt.empty() ? std::nullopt
+                        : std::optional(http_header{platform::header::attempt_id, attempt});
+    started.upstream =
+        worker_.send(node_.settings.worker, sent, milliseconds(left), std::move(callbacks), echo);
 }
 
 void worker_gate::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
@@ -276,11 +281,24 @@
 }
 
 void worker_gate::apply(const admission_turn& turn) {
-    for (const std::uint64_t id : turn.expired) {
-        refuse(id, error_kind::overloaded);
+    // Running or refusing a request may free a slot and so decide others; they wait for their turn here.
+    turns_.push_back(turn);
+    if (turns_.size() > 1) {
+        return;
     }
-    for (const std::uint64_t id : turn.run) {
-        run(id);
+    while (!turns_.empty()) {
+        const admission_turn next = turns_.front();
+        for (const std::uint64_t id : next.expired) {
+            if (requests_.contains(id)) {
+                refuse(id, error_kind::overloaded);
+            }
+        }
+        for (const std::uint64_t id : next.run) {
+            if (requests_.contains(id)) {
+                run(id);
+            }
+        }
+        turns_.pop_front();
     }
 }
 
@@ -296,6 +314,9 @@
         }
     }
     for (const std::uint64_t id : gone) {
+        if (!requests_.contains(id)) {
+            continue;
+        }
         node_.counts.caller_gone += 1;
         worker_.cancel(requests_.at(id)->upstream);
         remove(id);
