--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -15,28 +15,35 @@
 struct waiting_request {
     std::uint64_t id = 0;
     time_point deadline;
+    std::uint32_t priority = 0; ///< 0 is the most urgent
+    std::optional<time_point>
+        goal{}; ///< by which the answer is worth most; nothing if only the deadline counts
     auto operator<=>(const waiting_request&) const = default;
 };
 
 /// The worker's slots as the node beside it counts them, with a short queue. Its refusal proves that a
-/// request did not run.
+/// request did not run. It answers load beyond the worker's capacity: urgent requests start first and
+/// displace others, and whoever can't be answered in time is refused on arrival instead of waiting in vain.
 struct admission {
     std::uint32_t slots = 1;
     std::uint32_t queue_limit = 0;
     std::uint32_t running = 0;
-    std::deque<waiting_request> waiting;
-    double mean_run_ms = 0; ///< exponentially weighted
+    std::deque<waiting_request> waiting;  ///< by priority, then in the order of arrival
+    std::vector<std::uint64_t> displaced; ///< by more urgent requests, to be refused with the next turn
+    std::uint32_t starts_since_least = 0; ///< turns since the least urgent request was last preferred
+    double mean_run_ms = 0;               ///< exponentially weighted
     bool leaving = false;
 };
 
 /// What becomes of a request that arrives.
 enum class admission_verdict : std::uint8_t { run, wait, refuse_overloaded, refuse_deadline, refuse_leaving };
 
-/// Admits a request, queues it, or refuses it if the queue is full or its turn would come too late.
+/// Admits a request, queues it, or refuses it if the queue is full or its turn would come too late. Requests
+/// that are less urgent and would now come too late, or for which no place is left, are displaced.
 admission_verdict admit(admission& state, const waiting_request& request, time_point now);
 
-/// The requests that a freed or idle slot decides: those to run now, and those whose deadline has passed
-/// while they waited.
+/// The requests that a freed or idle slot decides: those to run now, and those that were displaced or whose
+/// deadline has passed while they waited.
 struct admission_turn {
     std::vector<std::uint64_t> run;
     std::vector<std::uint64_t> expired;
@@ -46,7 +53,7 @@
 /// Notes that a request that ran for `ran` has ended, and fills the slot.
 admission_turn release_slot(admission& state, milliseconds ran, time_point now);
 
-/// Drops requests that have waited past their deadline and fills free slots.
+/// Drops requests that have waited past their deadline or were displaced, and fills free slots.
 admission_turn review_queue(admission& state, time_point now);
 
 /// Takes a waiting request out of the queue; false if it does not wait.
@@ -55,6 +62,9 @@
 /// Running and waiting requests: the load that answers carry back.
 double load_of(const admission& state);
 
+/// How long until a request that arrives now would start, by the mean of past runs.
+milliseconds expected_wait(const admission& state);
+
 } // namespace waxwingfall
 
 #endif
--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -6,10 +6,10 @@
 #include <string_view>
 
 #include "waxwingfall/call/ledger.h"
-#include "waxwingfall/contract/document.h"
-#include "waxwingfall/support/random_source.h"
 #include "waxwingfall/call/routing.h"
+#include "waxwingfall/contract/document.h"
 #include "waxwingfall/support/error.h"
+#include "waxwingfall/support/random_source.h"
 #include "waxwingfall/support/time.h"
 
 namespace waxwingfall {
@@ -31,13 +31,13 @@
 /// True if a call of this kind and method may run at most once.
 bool runs_once(const route_contract& route, std::string_view method);
 
-/// True if such a call is told apart from its repetitions by an idempotency key. Without one, each sending by the
-/// caller is a call of its own.
+/// True if such a call is told apart from its repetitions by an idempotency key. Without one, each sending by
+/// the caller is a call of its own.
 bool needs_key(const route_contract& route, std::string_view method);
 
-/// Seconds after which a caller that was refused should come back. Answers load that exceeds capacity: a refused
-/// caller that returns while the queue is still full is refused again, and callers refused together must not
-/// return together. `busy_for` is how long the service is expected to stay full; 0 if nobody knows.
+/// Seconds after which a caller that was refused should come back. Answers load that exceeds capacity: a
+/// refused caller that returns while the queue is still full is refused again, and callers refused together
+/// must not return together. `busy_for` is how long the service is expected to stay full; 0 if nobody knows.
 double retry_after_s(milliseconds busy_for, random_source& random);
 
 /// What bears on another try of a call.
--- a/include/waxwingfall/call/crash_watch.h
+++ b/include/waxwingfall/call/crash_watch.h
@@ -25,8 +25,8 @@
     auto operator<=>(const crash_watch_policy&) const = default;
 };
 
-/// Requests whose connection to the worker broke while it ran them, until probes have shown whether the worker
-/// crashed. Their answers wait for that, so that whoever retries elsewhere knows of the crash.
+/// Requests whose connection to the worker broke while it ran them, until probes have shown whether the
+/// worker crashed. Their answers wait for that, so that whoever retries elsewhere knows of the crash.
 struct crash_watch {
     crash_watch_policy policy;
     std::vector<std::uint64_t> broken; ///< ids of the requests, in the order in which they broke
--- /dev/null
+++ b/include/waxwingfall/call/placement.h
@@ -0,0 +1,35 @@
+#ifndef WAXWINGFALL_CALL_PLACEMENT_H
+#define WAXWINGFALL_CALL_PLACEMENT_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "waxwingfall/call/routing.h"
+
+namespace waxwingfall {
+
+/// What bears on where a call is placed.
+struct placement_question {
+    std::string service;
+    std::vector<member_id> tried; ///< never picked again
+    std::uint32_t priority = 0;   ///< 0 is the most urgent
+    bool large_answer = false;    ///< the answer should not cross data centres
+    auto operator<=>(const placement_question&) const = default;
+};
+
+/// Picks the endpoint at which the call is expected to finish first. Answers uneven load: data centres with
+/// few workers for their callers, workers of different speed, and workers that turned slow, cold, or bad.
+/// Endpoints that are cut off, or that refused a call as urgent as this one a moment ago, are passed over.
+/// Returns nothing if none is left, so that the call can be refused at once.
+std::optional<member_id> place_call(const routing_table& table, const placement_question& question,
+                                    time_point now, random_source& random);
+
+/// Milliseconds until a call would be answered by an endpoint, with what its failures and its distance cost.
+double expected_finish_ms(const routing_table& table, const endpoint& candidate, bool large_answer,
+                          time_point now);
+
+} // namespace waxwingfall
+
+#endif
--- a/include/waxwingfall/call/routing.h
+++ b/include/waxwingfall/call/routing.h
@@ -13,8 +13,9 @@
 
 namespace waxwingfall {
 
-/// How an endpoint is picked; the second is the baseline of the measurements.
-enum class pick_rule : std::uint8_t { two_choices, round_robin };
+/// How an endpoint is picked: `two_choices` and `round_robin` by `pick_endpoint`, `expected_finish` by
+/// `place_call`. Round robin is the baseline of the measurements.
+enum class pick_rule : std::uint8_t { two_choices, round_robin, expected_finish };
 
 /// Settings of routing.
 struct routing_policy {
@@ -25,6 +26,9 @@
     milliseconds slow_start{10000};           ///< over which a new endpoint reaches its full share
     milliseconds load_lifetime{2000};         ///< after which a reported load is not believed
     milliseconds refusal_pause{100};          ///< for which an endpoint that refused is passed over
+    milliseconds first_cut{500};              ///< for which an endpoint that can't be reached is passed over;
+                                              ///< doubles with each further time in a row
+    milliseconds longest_cut{4000};
     double spill_load = 0.9; ///< load per slot from which other data centres are used as well
     auto operator<=>(const routing_policy&) const = default;
 };
@@ -41,23 +45,44 @@
     std::uint32_t in_flight = 0; ///< of this node
     double reported_load = 0;    ///< running and waiting requests, carried back by answers
     time_point reported_at;
+    std::uint32_t in_flight_at_report = 0;
+    double mean_run_ms = 0;   ///< as the endpoint reports it; 0 while it is not known
+    double failure_share = 0; ///< of the latest tries, exponentially weighted
+    time_point unreachable_until;
+    std::uint32_t cuts = 0;      ///< times in a row that it could not be reached
     std::uint32_t failures = 0;  ///< in a row
     std::uint32_t ejections = 0; ///< in a row
     time_point ejected_until;
     time_point refused_until;
+    std::uint32_t refused_priority = 0; ///< of the refused call; more urgent ones may be taken
 };
 
 /// The endpoints of each service, as far as they may take new work.
 struct routing_table {
     routing_policy policy;
     std::map<std::string, std::map<member_id, endpoint>> services;
-    std::map<std::string, std::uint64_t> turns; ///< of the round robin rule
-    std::string data_centre;                    ///< of this node
+    std::map<std::string, std::uint64_t> turns;         ///< of the round robin rule
+    std::map<std::string, time_point> cut_data_centres; ///< none of whose endpoints is tried before that time
+    std::string data_centre;                            ///< of this node
     std::string region;
 };
 
 /// How a try at an endpoint ended.
-enum class try_result : std::uint8_t { answered, refused, failed, cancelled };
+enum class try_result : std::uint8_t {
+    answered,
+    refused,
+    failed,
+    unreachable, ///< no connection, or silence where an acknowledgement was due
+    cancelled
+};
+
+/// What an endpoint says of itself in its answers.
+struct endpoint_report {
+    std::optional<double> load;        ///< running and waiting requests
+    std::optional<double> mean_run_ms; ///< of its worker
+    std::uint32_t priority = 0;        ///< of the call that it answers
+    auto operator<=>(const endpoint_report&) const = default;
+};
 
 /// Takes in a change of membership. Nodes that leave or are dead lose their endpoint at once.
 void update_endpoint(routing_table& table, const member& now_known, time_point now);
@@ -72,7 +97,7 @@
 /// Notes that a try starts at or has ended at an endpoint.
 void begin_try(routing_table& table, const std::string& service, member_id id);
 void end_try(routing_table& table, const std::string& service, member_id id, try_result result,
-             std::optional<double> reported_load, time_point now);
+             const endpoint_report& report, time_point now);
 
 /// The address of an endpoint's node for calls, or an empty text.
 std::string endpoint_address(const routing_table& table, const std::string& service, member_id id);
--- a/include/waxwingfall/call/worker_view.h
+++ b/include/waxwingfall/call/worker_view.h
@@ -13,12 +13,12 @@
 
 /// What the node beside a worker knows of it, from its heartbeats and from what its connections showed.
 struct worker_view {
-    std::string address;                  ///< of the worker; reports of others are not taken
-    std::string worker_id;                ///< empty until the worker has said who it is
-    std::optional<worker_report> newest;  ///< nothing if only a health check has named the worker
-    std::set<std::string> former_ids;     ///< of workers that were replaced at this address
-    bool reachable = false;               ///< false after a refused connection, until it is heard of again
-    bool leaving = false;                 ///< it said that it drains or leaves
+    std::string address;                 ///< of the worker; reports of others are not taken
+    std::string worker_id;               ///< empty until the worker has said who it is
+    std::optional<worker_report> newest; ///< nothing if only a health check has named the worker
+    std::set<std::string> former_ids;    ///< of workers that were replaced at this address
+    bool reachable = false;              ///< false after a refused connection, until it is heard of again
+    bool leaving = false;                ///< it said that it drains or leaves
     time_point leaving_since;
     time_point last_heard;
 };
@@ -43,8 +43,8 @@
 /// True if requests may be placed at the worker.
 bool takes_work(const worker_view& view);
 
-/// True if requests that arrive all the same may still run: those of nodes that have not heard of the worker's
-/// leaving yet, until `drain` after it was acknowledged.
+/// True if requests that arrive all the same may still run: those of nodes that have not heard of the
+/// worker's leaving yet, until `drain` after it was acknowledged.
 bool may_run(const worker_view& view, milliseconds drain, time_point now);
 
 } // namespace waxwingfall
--- a/include/waxwingfall/contract/document.h
+++ b/include/waxwingfall/contract/document.h
@@ -54,7 +54,7 @@
 /// Requests of one host below one path prefix, and the service that they go to.
 struct route_contract {
     std::string host;
-    std::string prefix; ///< starts with '/', matches whole path segments
+    std::string prefix;           ///< starts with '/', matches whole path segments
     std::string service;          ///< empty if `split` names the services
     std::uint32_t timeout_ms = 0; ///< 0 stands for the timeout of the service
     std::vector<std::string>
--- a/include/waxwingfall/machine/call_headers.h
+++ b/include/waxwingfall/machine/call_headers.h
@@ -17,11 +17,16 @@
 inline constexpr const char* idempotency_key = "Idempotency-Key";
 inline constexpr const char* deadline_ms = platform::header::deadline_ms;
 inline constexpr const char* retry_attempt =
-    "X-Retry-Attempt";                              ///< over 0 inside a call that is itself a retry
+    "X-Retry-Attempt"; ///< over 0 inside a call that is itself a retry
 inline constexpr const char* not_run = platform::header::not_run;
 inline constexpr const char* outcome = "X-Waxwingfall-Outcome"; ///< done, not-run or unknown
 inline constexpr const char* reason = "X-Waxwingfall-Reason";   ///< the name of an error kind
 inline constexpr const char* load = "X-Waxwingfall-Load"; ///< between nodes: running and waiting requests
+inline constexpr const char* mean_run_ms =
+    "X-Waxwingfall-Mean-Run-Ms"; ///< between nodes: how long the worker's runs take
+inline constexpr const char* priority = "X-Waxwingfall-Priority"; ///< between nodes: that of the route
+inline constexpr const char* goal_ms =
+    "X-Waxwingfall-Goal-Ms"; ///< between nodes: what is left of the latency objective
 inline constexpr const char* replayed = "X-Waxwingfall-Replayed"; ///< the answer of an earlier run
 inline constexpr const char* version = "X-Waxwingfall-Version";   ///< the document that was in force
 } // namespace call_header
--- a/include/waxwingfall/machine/call_proxy.h
+++ b/include/waxwingfall/machine/call_proxy.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,7 @@
     void start(std::uint64_t id);
     void claim(std::uint64_t id);
     void try_next(std::uint64_t id);
+    std::optional<member_id> pick(const call& placed, time_point now);
     void on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers);
     void on_data(std::uint64_t id, evbuffer* data);
     void on_end(std::uint64_t id, upstream_end end);
--- a/include/waxwingfall/machine/downstream.h
+++ b/include/waxwingfall/machine/downstream.h
@@ -23,6 +23,9 @@
     downstream(const downstream&) = delete;
     downstream& operator=(const downstream&) = delete;
 
+    /// Tells the other side, by an interim answer, that its request has been read.
+    void acknowledge();
+
     /// Sends a whole answer.
     void reply(int status, std::string_view body, const std::vector<http_header>& headers);
 
--- a/include/waxwingfall/machine/local_ports.h
+++ b/include/waxwingfall/machine/local_ports.h
@@ -9,8 +9,8 @@
 
 namespace waxwingfall {
 
-/// The addresses at which a node's own machine speaks to it, if the settings name them: a balancer asks whether
-/// callers may come here, and the worker sends its heartbeats.
+/// The addresses at which a node's own machine speaks to it, if the settings name them: a balancer asks
+/// whether callers may come here, and the worker sends its heartbeats.
 class local_ports {
 public:
     local_ports(node_context& node, worker_gate& gate);
--- a/include/waxwingfall/machine/node_context.h
+++ b/include/waxwingfall/machine/node_context.h
@@ -51,7 +51,7 @@
     ledger records;
     claimant claims;
     quarantine crashes;
-    worker_view worker; ///< used only if the worker sends heartbeats
+    worker_view worker;                       ///< used only if the worker sends heartbeats
     std::shared_ptr<const contract> in_force; ///< null until a document is enforced
     std::uint64_t version = 0;
     call_counts counts;
--- a/include/waxwingfall/machine/settings.h
+++ b/include/waxwingfall/machine/settings.h
@@ -29,15 +29,15 @@
     std::string data_centre;
     std::string region;
     std::string environment;
-    ip_address calls;   ///< where callers send requests
-    ip_address inbound; ///< where other nodes send requests for the worker
-    ip_address control; ///< for messages between nodes
-    ip_address admin;   ///< /status and /metrics
+    ip_address calls;                     ///< where callers send requests
+    ip_address inbound;                   ///< where other nodes send requests for the worker
+    ip_address control;                   ///< for messages between nodes
+    ip_address admin;                     ///< /status and /metrics
     std::optional<ip_address> ready;      ///< where a balancer asks whether callers may come here
     std::optional<ip_address> heartbeats; ///< where the worker reports; without it the worker is probed
     std::string service;
     ip_address worker;
-    std::uint32_t slots = 1; ///< until the worker's heartbeats name another number
+    std::uint32_t slots = 1;         ///< until the worker's heartbeats name another number
     std::uint32_t connections = 110; ///< to the worker
     milliseconds probe_period{1000}; ///< between health probes of the worker
     ip_address platform;
@@ -50,8 +50,8 @@
     milliseconds leave_notice{
         2000}; ///< after the notice that it leaves, a node still admits work for so long
     milliseconds leave_timeout{30'000}; ///< after which a leaving node stops, whatever is still running
-    milliseconds drain{1000}; ///< after a worker's notice that it leaves, for which requests of nodes that have
-                              ///< not heard of it still run; under the sites' bound of 2 s
+    milliseconds drain{1000}; ///< after a worker's notice that it leaves, for which requests of nodes that
+                              ///< have not heard of it still run; under the sites' bound of 2 s
     configuration_source source = configuration_source::environment_head;
     std::uint32_t retry_slack = 90; ///< retries of all nodes in a budget window, beyond the share of requests
     bool retry_budget = true; ///< off lets every failed try be repeated, the baseline of the measurements
--- a/include/waxwingfall/machine/upstream.h
+++ b/include/waxwingfall/machine/upstream.h
@@ -19,7 +19,15 @@
 enum class upstream_end : std::uint8_t {
     complete,      ///< the whole answer has come
     not_connected, ///< no connection could be made; nothing was sent
-    lost           ///< the connection broke or timed out; the request may have been received
+    silent, ///< the other side did not say in time that it has the request; it may have it all the same
+    lost    ///< the connection broke or timed out; the request may have been received
+};
+
+/// How a request is sent.
+struct upstream_options {
+    milliseconds timeout{0};             ///< for each wait for the other side
+    std::optional<http_header> echo;     ///< an answer belongs to the request only if it repeats this header
+    milliseconds acknowledged_within{0}; ///< for an interim answer; 0 if none is expected
 };
 
 /// What the owner of a request learns of it, in this order: headers once, data any number of times, end once.
@@ -38,10 +46,9 @@
     upstream_pool(const upstream_pool&) = delete;
     upstream_pool& operator=(const upstream_pool&) = delete;
 
-    /// Sends a request and returns its number. The timeout covers each wait for the other side. Nothing is
-    /// ever sent again. An answer belongs to the request only if it repeats the header `echo`; others are skipped.
-    std::uint64_t send(const ip_address& address, const http_request& request, milliseconds timeout,
-                       upstream_callbacks callbacks, const std::optional<http_header>& echo = std::nullopt);
+    /// Sends a request and returns its number. Nothing is ever sent again.
+    std::uint64_t send(const ip_address& address, const http_request& request,
+                       const upstream_options& options, upstream_callbacks callbacks);
 
     /// Ends a request without further callbacks and closes its connection.
     void cancel(std::uint64_t id);
@@ -55,8 +62,8 @@
 
     std::size_t open_connections() const;
 
-    /// Wait for a connection to stand, after which nothing was sent. Connections between data centres take 7 ms, and
-    /// a lost opening packet is sent again after a second, too late for most requests.
+    /// Wait for a connection to stand, after which nothing was sent. Connections between data centres take 7
+    /// ms, and a lost opening packet is sent again after a second, too late for most requests.
     static constexpr milliseconds connect_timeout{400};
 
     struct connection;
@@ -67,6 +74,7 @@
     std::shared_ptr<connection> take_connection(const ip_address& address, time_point now);
     void connect(active& request);
     void write_request(active& request);
+    void check_silence(std::uint64_t id);
     void finish(active& request, upstream_end end);
     void keep(const std::shared_ptr<connection>& carrier);
     void forget_idle(const connection& broken);
--- a/include/waxwingfall/machine/worker_gate.h
+++ b/include/waxwingfall/machine/worker_gate.h
@@ -35,8 +35,8 @@
     /// Takes in a heartbeat or a leave of the worker.
     report_verdict take_report(const worker_report& report);
 
-    /// Asks the worker who it is, once, so that a node that starts beside a running worker need not wait for its next
-    /// heartbeat. Does nothing if the worker sends none or has reported.
+    /// Asks the worker who it is, once, so that a node that starts beside a running worker need not wait for
+    /// its next heartbeat. Does nothing if the worker sends none or has reported.
     void identify_worker();
 
     double load() const { return load_of(admission_); }
--- a/include/waxwingfall/standin/platform_service.h
+++ b/include/waxwingfall/standin/platform_service.h
@@ -13,9 +13,9 @@
 
 namespace waxwingfall::standin {
 
-/// A stand-in for the platform's key-value service, for tests and demonstrations: one process, memory only, in the
-/// form of platform/store_wire.h. It can be told over HTTP to be down, slow, to lose answers after a write, to forget
-/// its history, or to go back to an earlier state.
+/// A stand-in for the platform's key-value service, for tests and demonstrations: one process, memory only,
+/// in the form of platform/store_wire.h. It can be told over HTTP to be down, slow, to lose answers after a
+/// write, to forget its history, or to go back to an earlier state.
 class platform_service {
 public:
     platform_service(const event_loop& loop, const ip_address& address);
--- a/include/waxwingfall/store/store_client.h
+++ b/include/waxwingfall/store/store_client.h
@@ -46,8 +46,8 @@
 /// Reads all keys that start with `prefix`.
 void list_values(const store_client& client, const std::string& prefix, store_callback done);
 
-/// Waits up to `wait` for a change of the key after the service's revision `known`. Reads the key instead if `known`
-/// is 0 or if the service has forgotten its history since.
+/// Waits up to `wait` for a change of the key after the service's revision `known`. Reads the key instead if
+/// `known` is 0 or if the service has forgotten its history since.
 void watch_value(const store_client& client, const std::string& key, std::uint64_t known, milliseconds wait,
                  store_callback done);
 
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -8,12 +8,44 @@
 
 constexpr double mean_weight = 0.1;
 
-/// How long the last request of the queue would wait, by the mean of past runs.
-milliseconds expected_wait(const admission& state) {
-    const double rounds = static_cast<double>(state.waiting.size() + 1) / std::max(1U, state.slots);
+/// Of so many starts one goes to the least urgent request, so that no kind of request starves.
+constexpr std::uint32_t starts_per_least_urgent = 8;
+
+/// How long a request with `ahead` others before it waits, by the mean of past runs.
+milliseconds wait_behind(const admission& state, std::size_t ahead) {
+    const double rounds = static_cast<double>(ahead + 1) / std::max(1U, state.slots);
     return milliseconds(static_cast<std::int64_t>(rounds * state.mean_run_ms));
 }
 
+bool comes_too_late(const admission& state, const waiting_request& request, std::size_t ahead,
+                    time_point now) {
+    const auto run = milliseconds(static_cast<std::int64_t>(state.mean_run_ms));
+    return now + wait_behind(state, ahead) + run > request.goal.value_or(request.deadline);
+}
+
+void displace(admission& state, std::size_t index) {
+    state.displaced.push_back(state.waiting[index].id);
+    state.waiting.erase(state.waiting.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+/// Takes the next request to start from the queue.
+std::uint64_t take_next(admission& state) {
+    const bool prefers_least = state.waiting.front().priority != state.waiting.back().priority &&
+                               ++state.starts_since_least >= starts_per_least_urgent;
+    if (!prefers_least) {
+        const std::uint64_t id = state.waiting.front().id;
+        state.waiting.pop_front();
+        return id;
+    }
+    state.starts_since_least = 0;
+    const std::uint32_t least = state.waiting.back().priority;
+    const auto oldest = std::find_if(state.waiting.begin(), state.waiting.end(),
+                                     [&](const waiting_request& each) { return each.priority == least; });
+    const std::uint64_t id = oldest->id;
+    state.waiting.erase(oldest);
+    return id;
+}
+
 } // namespace
 
 admission_verdict admit(admission& state, const waiting_request& request, time_point now) {
@@ -27,14 +59,23 @@
         state.running += 1;
         return admission_verdict::run;
     }
-    if (state.waiting.size() >= state.queue_limit) {
+    const auto place = std::upper_bound(
+        state.waiting.begin(), state.waiting.end(), request.priority,
+        [](std::uint32_t priority, const waiting_request& each) { return priority < each.priority; });
+    const auto ahead = static_cast<std::size_t>(place - state.waiting.begin());
+    const bool is_full = state.waiting.size() >= state.queue_limit;
+    if ((is_full && place == state.waiting.end()) || comes_too_late(state, request, ahead, now)) {
         return admission_verdict::refuse_overloaded;
     }
-    const auto run = milliseconds(static_cast<std::int64_t>(state.mean_run_ms));
-    if (now + expected_wait(state) + run > request.deadline) {
-        return admission_verdict::refuse_overloaded;
+    state.waiting.insert(place, request);
+    if (is_full) {
+        displace(state, state.waiting.size() - 1);
+    }
+    for (std::size_t index = state.waiting.size(); index-- > ahead + 1;) {
+        if (comes_too_late(state, state.waiting[index], index, now)) {
+            displace(state, index);
+        }
     }
-    state.waiting.push_back(request);
     return admission_verdict::wait;
 }
 
@@ -48,6 +89,7 @@
 
 admission_turn review_queue(admission& state, time_point now) {
     admission_turn turn;
+    turn.expired.swap(state.displaced);
     std::erase_if(state.waiting, [&](const waiting_request& request) {
         if (now < request.deadline) {
             return false;
@@ -56,8 +98,7 @@
         return true;
     });
     while (state.running < state.slots && !state.waiting.empty()) {
-        turn.run.push_back(state.waiting.front().id);
-        state.waiting.pop_front();
+        turn.run.push_back(take_next(state));
         state.running += 1;
     }
     return turn;
@@ -71,4 +112,8 @@
     return static_cast<double>(state.running) + static_cast<double>(state.waiting.size());
 }
 
+milliseconds expected_wait(const admission& state) {
+    return state.running < state.slots ? milliseconds(0) : wait_behind(state, state.waiting.size());
+}
+
 } // namespace waxwingfall
--- /dev/null
+++ b/lib/call/placement.cpp
@@ -0,0 +1,87 @@
+#include "waxwingfall/call/placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace waxwingfall {
+
+namespace {
+
+/// Run time of an endpoint that has not said how long its runs take.
+constexpr double default_run_ms = 200;
+
+/// Extra time per unit of load on the slots: workers slow down as they fill up, and news of load is late.
+constexpr double crowding = 0.5;
+
+/// What a failed try costs: as long as the latency objective of most routes.
+constexpr double failure_cost_ms = 800;
+
+/// What a hop to another data centre costs: a round trip, and the bytes of a usual answer.
+constexpr double crossing_ms = 25;
+
+/// What a large answer costs on that hop: more than a usual wait, less than a latency objective.
+constexpr double large_crossing_ms = 500;
+
+/// Share by which expected times are varied, so that nodes with the same news do not all pick the same
+/// endpoint.
+constexpr double variation = 0.2;
+
+bool is_cut_off(const routing_table& table, const endpoint& candidate, time_point now) {
+    if (now < candidate.unreachable_until) {
+        return true;
+    }
+    const auto cut = table.cut_data_centres.find(candidate.data_centre);
+    return cut != table.cut_data_centres.end() && now < cut->second;
+}
+
+bool refuses(const endpoint& candidate, std::uint32_t priority, time_point now) {
+    return now < candidate.refused_until && priority >= candidate.refused_priority;
+}
+
+} // namespace
+
+double expected_finish_ms(const routing_table& table, const endpoint& candidate, bool large_answer,
+                          time_point now) {
+    const double run = candidate.mean_run_ms > 0 ? candidate.mean_run_ms : default_run_ms;
+    const double slots = std::max(1U, candidate.slots);
+    const bool is_fresh = now - candidate.reported_at <= table.policy.load_lifetime;
+    // Own calls that were started or ended since the report are known exactly.
+    const double since = static_cast<double>(candidate.in_flight) -
+                         static_cast<double>(is_fresh ? candidate.in_flight_at_report : 0);
+    const double load = std::max(static_cast<double>(candidate.in_flight),
+                                 (is_fresh ? candidate.reported_load : 0.0) + since);
+    const double wait = std::max(0.0, load + 1 - slots) / slots * run;
+    double expected = wait + run * (1 + crowding * load / slots) + candidate.failure_share * failure_cost_ms;
+    if (candidate.data_centre != table.data_centre) {
+        expected += large_answer ? large_crossing_ms : crossing_ms;
+    }
+    return candidate.suspect ? expected + failure_cost_ms : expected;
+}
+
+std::optional<member_id> place_call(const routing_table& table, const placement_question& question,
+                                    time_point now, random_source& random) {
+    const auto group = table.services.find(question.service);
+    if (group == table.services.end()) {
+        return std::nullopt;
+    }
+    std::optional<member_id> best;
+    double least = std::numeric_limits<double>::max();
+    for (const auto& [id, candidate] : group->second) {
+        const bool was_tried =
+            std::find(question.tried.begin(), question.tried.end(), id) != question.tried.end();
+        if (was_tried || is_cut_off(table, candidate, now) || refuses(candidate, question.priority, now)) {
+            continue;
+        }
+        constexpr std::uint64_t steps = 1000;
+        const double factor =
+            1 + variation * static_cast<double>(random_below(random, steps)) / static_cast<double>(steps);
+        const double expected = expected_finish_ms(table, candidate, question.large_answer, now) * factor;
+        if (expected < least) {
+            least = expected;
+            best = id;
+        }
+    }
+    return best;
+}
+
+} // namespace waxwingfall
--- a/lib/call/routing.cpp
+++ b/lib/call/routing.cpp
@@ -15,6 +15,33 @@
     return found == group->second.end() ? nullptr : &found->second;
 }
 
+/// Weight of the latest try in an endpoint's share of failures.
+constexpr double failure_weight = 0.15;
+
+/// Notes that an endpoint could not be reached. Two unreachable endpoints of one other data centre, of any
+/// service, are taken for a cut between the data centres.
+void note_cut(routing_table& table, const std::string& service, endpoint& lost, time_point now) {
+    const milliseconds length =
+        std::min(table.policy.first_cut * (1U << std::min(lost.cuts, 8U)), table.policy.longest_cut);
+    lost.cuts += 1;
+    lost.unreachable_until = now + length;
+    if (lost.data_centre == table.data_centre) {
+        return;
+    }
+    constexpr std::size_t endpoints_of_a_cut = 2;
+    std::size_t unreachable = 0;
+    for (const auto& [name, group] : table.services) {
+        for (const auto& [id, other] : group) {
+            const bool is_there = other.data_centre == lost.data_centre;
+            const bool is_lost = other.id == lost.id && name == service;
+            unreachable += is_there && (is_lost || now < other.unreachable_until) ? 1 : 0;
+        }
+    }
+    if (unreachable >= endpoints_of_a_cut) {
+        table.cut_data_centres[lost.data_centre] = now + length;
+    }
+}
+
 /// Distance classes: the own data centre, the own region, the rest.
 int distance(const routing_table& table, const endpoint& candidate) {
     if (candidate.data_centre == table.data_centre) {
@@ -168,26 +195,37 @@
 }
 
 void end_try(routing_table& table, const std::string& service, member_id id, try_result result,
-             std::optional<double> reported_load, time_point now) {
+             const endpoint_report& report, time_point now) {
     endpoint* used = find_endpoint(table, service, id);
     if (used == nullptr) {
         return;
     }
     used->in_flight -= std::min(used->in_flight, 1U);
-    if (reported_load) {
-        used->reported_load = *reported_load;
+    if (report.load) {
+        used->reported_load = *report.load;
         used->reported_at = now;
+        used->in_flight_at_report = used->in_flight;
     }
-    if (result == try_result::answered) {
-        used->failures = 0;
-        used->ejections = 0;
+    used->mean_run_ms = report.mean_run_ms.value_or(used->mean_run_ms);
+    if (result == try_result::cancelled) {
         return;
     }
+    if (result == try_result::unreachable) {
+        note_cut(table, service, *used, now);
+    } else {
+        used->cuts = 0;
+        table.cut_data_centres.erase(used->data_centre);
+    }
     if (result == try_result::refused) {
         used->refused_until = now + table.policy.refusal_pause;
+        used->refused_priority = report.priority;
         return;
     }
-    if (result == try_result::cancelled) {
+    const double sample = result == try_result::answered ? 0.0 : 1.0;
+    used->failure_share += (sample - used->failure_share) * failure_weight;
+    if (result == try_result::answered) {
+        used->failures = 0;
+        used->ejections = 0;
         return;
     }
     used->failures += 1;
--- a/lib/call/worker_view.cpp
+++ b/lib/call/worker_view.cpp
@@ -4,11 +4,25 @@
 
 namespace {
 
-bool is_outdated(const worker_view& view, const worker_report& report) {
+/// Heartbeats are further apart than this on every deployment.
+constexpr milliseconds least_heartbeat{500};
+
+/// True if a worker that started after the leave of the same id could have sent so many heartbeats by now. A
+/// leave need not name the incarnation that it ends.
+bool can_have_started_since(const worker_view& view, const worker_report& report, time_point now) {
+    const auto most = 1 + (now - view.leaving_since) / least_heartbeat;
+    return report.sequence <= static_cast<std::uint64_t>(most);
+}
+
+bool is_outdated(const worker_view& view, const worker_report& report, time_point now) {
     if (!view.newest) {
         return view.former_ids.contains(report.worker_id);
     }
     const worker_report& known = *view.newest;
+    const bool ended_unnamed = known.state == worker_state::left && known.incarnation == 0;
+    if (ended_unnamed && report.worker_id == known.worker_id) {
+        return !can_have_started_since(view, report, now);
+    }
     const bool names_no_start = report.state == worker_state::left && report.incarnation == 0;
     if (!names_no_start && report.incarnation != known.incarnation) {
         return report.incarnation < known.incarnation;
@@ -22,9 +36,8 @@
 }
 
 bool is_same_worker(const worker_view& view, const worker_report& report) {
-    return view.worker_id == report.worker_id &&
-           (!view.newest || report.state == worker_state::left ||
-            view.newest->incarnation == report.incarnation);
+    return view.worker_id == report.worker_id && (!view.newest || report.state == worker_state::left ||
+                                                  view.newest->incarnation == report.incarnation);
 }
 
 } // namespace
@@ -37,7 +50,7 @@
     if (!has_address && !view.worker_id.empty() && report.worker_id != view.worker_id) {
         return report_verdict::outdated;
     }
-    if (is_outdated(view, report)) {
+    if (is_outdated(view, report, now)) {
         return report_verdict::outdated;
     }
     const bool leaves = report.state != worker_state::ready;
--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "waxwingfall/call/call_decisions.h"
+#include "waxwingfall/call/placement.h"
 #include "waxwingfall/contract/snapshot.h"
 
 namespace waxwingfall {
@@ -18,8 +19,12 @@
 /// Added to the wait for a worker's node, so that its own answer to a missed deadline arrives first.
 constexpr milliseconds deadline_margin{50};
 
-std::optional<double> load_in(const std::vector<http_header>& headers) {
-    const std::string text = header_value(headers, call_header::load);
+/// For a worker's node to say that it has read a request. Round trips take 8 ms at most; a node with a fifth
+/// of a core needs some 50 ms to come to a request under load.
+constexpr milliseconds hop_acknowledgement{400};
+
+std::optional<double> number_in(const std::vector<http_header>& headers, const char* name) {
+    const std::string text = header_value(headers, name);
     int value = 0;
     const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
     return text.empty() || result.ec != std::errc{} ? std::nullopt : std::optional<double>(value);
@@ -63,7 +68,7 @@
     bool refused = false; ///< the worker's node refused this try
     bool crashed = false; ///< the worker's node saw the worker crash under this try
     error_kind refusal = error_kind::overloaded;
-    std::optional<double> reported_load;
+    endpoint_report report;
     int status = 0;
     std::string content_type;
     std::string answer_copy;
@@ -234,7 +239,7 @@
         fail(id, tried.tried.empty() ? error_kind::deadline_exceeded : tried.refusal);
         return;
     }
-    const auto endpoint = pick_endpoint(node_.routing, service, tried.tried, now, node_.random);
+    const auto endpoint = pick(tried, now);
     if (!endpoint) {
         fail(id, tried.tried.empty() ? error_kind::no_endpoint : tried.refusal);
         return;
@@ -243,7 +248,7 @@
     tried.refused = false;
     tried.crashed = false;
     tried.trying = true;
-    tried.reported_load.reset();
+    tried.report = {};
     const bool is_retry = !tried.tried.empty();
     tried.tried.push_back(*endpoint);
     node_.counts.tries += 1;
@@ -253,6 +258,11 @@
     const auto left = std::max<std::int64_t>(1, elapsed_ms(now, tried.deadline));
     set_header(sent.headers, call_header::deadline_ms, std::to_string(left));
     set_header(sent.headers, platform::header::caller_service, node_.settings.service);
+    set_header(sent.headers, call_header::priority, std::to_string(tried.route->priority));
+    if (tried.route->goal_ms != 0) {
+        const auto goal_left = elapsed_ms(now, tried.received_at + milliseconds(tried.route->goal_ms));
+        set_header(sent.headers, call_header::goal_ms, std::to_string(std::max<std::int64_t>(0, goal_left)));
+    }
     if (is_retry || tried.inside_retry) {
         set_header(sent.headers, call_header::retry_attempt, std::to_string(tried.tried.size()));
     }
@@ -265,13 +275,26 @@
     const std::string reached =
         translate(node_.settings.translations, endpoint_address(node_.routing, service, *endpoint));
     const auto address = parse_address(reached);
-    tried.upstream = workers_.send(address.value_or(ip_address{}), sent, milliseconds(left) + deadline_margin,
-                                   std::move(callbacks));
+    upstream_options options;
+    options.timeout = milliseconds(left) + deadline_margin;
+    options.acknowledged_within = hop_acknowledgement;
+    tried.upstream = workers_.send(address.value_or(ip_address{}), sent, options, std::move(callbacks));
+}
+
+std::optional<member_id> call_proxy::pick(const call& placed, time_point now) {
+    const std::string& service = placed.service->name;
+    if (node_.routing.policy.rule != pick_rule::expected_finish) {
+        return pick_endpoint(node_.routing, service, placed.tried, now, node_.random);
+    }
+    const placement_question question{service, placed.tried, placed.route->priority,
+                                      placed.route->kind == request_kind::download};
+    return place_call(node_.routing, question, now, node_.random);
 }
 
 void call_proxy::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     call& answered = *calls_.at(id);
-    answered.reported_load = load_in(headers);
+    answered.report = {number_in(headers, call_header::load), number_in(headers, call_header::mean_run_ms),
+                       answered.route->priority};
     const std::string result = header_value(headers, call_header::outcome);
     if (result != outcome_name(outcome::done)) {
         // Held back: another try may still give the caller a real answer.
@@ -321,10 +344,12 @@
     ended.trying = false;
     const bool answered = end == upstream_end::complete && ended.status != 0;
     const bool refused = end == upstream_end::complete && ended.refused;
-    const try_result result = answered  ? try_result::answered
-                              : refused ? try_result::refused
-                                        : try_result::failed;
-    end_try(node_.routing, ended.service->name, ended.endpoint, result, ended.reported_load, now);
+    const bool unreachable = end == upstream_end::not_connected || end == upstream_end::silent;
+    const try_result result = answered      ? try_result::answered
+                              : refused     ? try_result::refused
+                              : unreachable ? try_result::unreachable
+                                            : try_result::failed;
+    end_try(node_.routing, ended.service->name, ended.endpoint, result, ended.report, now);
     if (ended.crashed) {
         spread_crash(node_, ended.received.fingerprint, ended.endpoint, now);
     }
@@ -365,8 +390,7 @@
 }
 
 bool call_proxy::may_retry(call& failed, time_point now) {
-    const retry_question question{failed.reached, failed.max_attempts, failed.inside_retry,
-                                  failed.deadline,
+    const retry_question question{failed.reached, failed.max_attempts, failed.inside_retry, failed.deadline,
                                   is_quarantined(node_.crashes, failed.received.fingerprint, now)};
     if (!may_try_again(question, now)) {
         return false;
--- a/lib/machine/downstream.cpp
+++ b/lib/machine/downstream.cpp
@@ -6,6 +6,7 @@
 
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
+#include <sys/socket.h>
 
 namespace waxwingfall {
 
@@ -51,6 +52,19 @@
     request_ = nullptr;
 }
 
+void downstream::acknowledge() {
+    constexpr std::string_view interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    // Past the library's buffer, which it does not write before the answer. Nothing waits in that buffer,
+    // because the other side sends one request at a time.
+    const evutil_socket_t socket =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_)));
+    const ssize_t sent = send(socket, interim.data(), interim.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent > 0 && static_cast<std::size_t>(sent) < interim.size()) {
+        // Half an interim answer would spoil the real one.
+        shutdown(socket, SHUT_RDWR);
+    }
+}
+
 void downstream::reply(int status, std::string_view body, const std::vector<http_header>& headers) {
     if (request_ == nullptr) {
         return;
--- a/lib/machine/local_ports.cpp
+++ b/lib/machine/local_ports.cpp
@@ -18,8 +18,9 @@
                                                [this](evhttp_request* request) { answer_ready(request); });
     }
     if (node.settings.heartbeats) {
-        heartbeats_ = std::make_unique<http_server>(
-            node.loop, *node.settings.heartbeats, [this](evhttp_request* request) { take_heartbeat(request); });
+        heartbeats_ =
+            std::make_unique<http_server>(node.loop, *node.settings.heartbeats,
+                                          [this](evhttp_request* request) { take_heartbeat(request); });
     }
 }
 
--- a/lib/machine/settings.cpp
+++ b/lib/machine/settings.cpp
@@ -47,7 +47,8 @@
 }
 
 void read_listen(yaml_reader& reader, const yaml_value& listen, node_settings& settings) {
-    if (!reader.expect_map(listen, "'listen'", {"calls", "inbound", "control", "admin", "ready", "heartbeats"})) {
+    if (!reader.expect_map(listen, "'listen'",
+                           {"calls", "inbound", "control", "admin", "ready", "heartbeats"})) {
         return;
     }
     settings.calls = read_address(reader, listen, "calls");
@@ -101,10 +102,9 @@
 }
 
 void read_policy(yaml_reader& reader, const yaml_value& policy, node_settings& settings) {
-    if (!reader.expect_map(
-            policy, "'policy'",
-            {"prefer", "deltas", "membership_probe_ms", "pick", "retry_budget", "takeover_delay_ms",
-             "configuration_from", "retry_slack"})) {
+    if (!reader.expect_map(policy, "'policy'",
+                           {"prefer", "deltas", "membership_probe_ms", "pick", "retry_budget",
+                            "takeover_delay_ms", "configuration_from", "retry_slack"})) {
         return;
     }
     read_preference(reader, policy, settings.zone);
@@ -116,18 +116,22 @@
         read_ms(reader, policy, "takeover_delay_ms", 3000, settings.ledger_map.takeover_delay);
     const std::string pick = reader.text(policy, "pick", false, "two_choices");
     const yaml_value* value = reader.child(policy, "pick", false);
-    if (pick != "two_choices" && pick != "round_robin" && value != nullptr) {
-        reader.report(error_kind::out_of_range, *value, "'pick' must be two_choices or round_robin");
+    if (pick != "two_choices" && pick != "round_robin" && pick != "expected_finish" && value != nullptr) {
+        reader.report(error_kind::out_of_range, *value,
+                      "'pick' must be two_choices, round_robin or expected_finish");
     }
     settings.retry_slack = reader.number(policy, "retry_slack", 0, max_retry_slack, settings.retry_slack);
     const std::string source = reader.text(policy, "configuration_from", false, "environment");
     const yaml_value* named = reader.child(policy, "configuration_from", false);
     if (source != "environment" && source != "operator" && named != nullptr) {
-        reader.report(error_kind::out_of_range, *named, "'configuration_from' must be environment or operator");
+        reader.report(error_kind::out_of_range, *named,
+                      "'configuration_from' must be environment or operator");
     }
     settings.source =
         source == "operator" ? configuration_source::operator_key : configuration_source::environment_head;
-    settings.routing.rule = pick == "round_robin" ? pick_rule::round_robin : pick_rule::two_choices;
+    settings.routing.rule = pick == "round_robin"       ? pick_rule::round_robin
+                            : pick == "expected_finish" ? pick_rule::expected_finish
+                                                        : pick_rule::two_choices;
 }
 
 void read_peers(yaml_reader& reader, const yaml_value& root, node_settings& settings) {
--- a/lib/machine/upstream.cpp
+++ b/lib/machine/upstream.cpp
@@ -54,9 +54,8 @@
 struct upstream_pool::active {
     std::uint64_t id = 0;
     http_request request;
-    milliseconds timeout{0};
-    std::string echo_name;
-    std::string echo_value;
+    upstream_options options;
+    loop_event acknowledgement_due;
     upstream_callbacks callbacks;
     std::shared_ptr<connection> carrier;
 };
@@ -71,11 +70,12 @@
     http_parser parser{};
     std::uint64_t current = 0; ///< the request that it carries; 0 while it is idle
     bool connected = false;
-    bool awaited = false;  ///< the answer being read is that of `current`
-    bool is_head = false;  ///< the answer to a HEAD request has no body
+    bool awaited = false; ///< the answer being read is that of `current`
+    bool is_head = false; ///< the answer to a HEAD request has no body
     bool headers_ready = false;
     bool headers_given = false;
     bool complete = false;
+    bool acknowledged = false; ///< an answer to the request has begun, be it an interim one
     std::string field;
     std::string value;
     bool in_value = false;
@@ -149,10 +149,11 @@
     reader.store_header();
     const bool is_final = parser->status_code >= first_final_status;
     // An answer to an earlier request may still come; the echoed header tells them apart.
-    const bool is_own = reader.echo_name.empty() ||
-                        header_value(reader.headers, reader.echo_name) == reader.echo_value;
+    const bool is_own =
+        reader.echo_name.empty() || header_value(reader.headers, reader.echo_name) == reader.echo_value;
     reader.awaited = is_final && is_own;
     reader.headers_ready = reader.awaited;
+    reader.acknowledged = reader.acknowledged || is_own || !is_final;
     return reader.is_head ? 1 : 0;
 }
 
@@ -223,19 +224,19 @@
 }
 
 std::uint64_t upstream_pool::send(const ip_address& address, const http_request& request,
-                                  milliseconds timeout, upstream_callbacks callbacks,
-                                  const std::optional<http_header>& echo) {
+                                  const upstream_options& options, upstream_callbacks callbacks) {
     const std::uint64_t id = next_id_++;
     auto made = std::make_unique<active>();
     made->id = id;
     made->request = request;
-    made->timeout = timeout;
+    made->options = options;
     made->callbacks = std::move(callbacks);
     made->carrier = take_connection(address, monotonic_now());
     connection& carrier = *made->carrier;
     carrier.current = id;
-    carrier.echo_name = echo ? echo->name : std::string();
-    carrier.echo_value = echo ? echo->value : std::string();
+    carrier.echo_name = options.echo ? options.echo->name : std::string();
+    carrier.echo_value = options.echo ? options.echo->value : std::string();
+    carrier.acknowledged = false;
     carrier.is_head = request.method == EVHTTP_REQ_HEAD;
     carrier.headers_ready = false;
     carrier.headers_given = false;
@@ -252,9 +253,10 @@
 
 void upstream_pool::connect(active& request) {
     connection& carrier = *request.carrier;
-    carrier.stream = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    carrier.stream =
+        bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(carrier.stream, on_readable, nullptr, on_event, &carrier);
-    const timeval limit = as_timeval(std::min(request.timeout, connect_timeout));
+    const timeval limit = as_timeval(std::min(request.options.timeout, connect_timeout));
     bufferevent_set_timeouts(carrier.stream, nullptr, &limit);
     const auto target = socket_address(carrier.address);
     if (bufferevent_socket_connect(carrier.stream, reinterpret_cast<const sockaddr*>(&target),
@@ -272,13 +274,25 @@
 
 void upstream_pool::write_request(active& request) {
     connection& carrier = *request.carrier;
-    const timeval limit = as_timeval(request.timeout);
+    const timeval limit = as_timeval(request.options.timeout);
     bufferevent_set_timeouts(carrier.stream, &limit, &limit);
     bufferevent_enable(carrier.stream, EV_READ | EV_WRITE);
     const std::string head = request_head(request.request);
     bufferevent_write(carrier.stream, head.data(), head.size());
     bufferevent_write(carrier.stream, request.request.body.data(), request.request.body.size());
     request.request = {};
+    if (request.options.acknowledged_within.count() > 0) {
+        const std::uint64_t id = request.id;
+        request.acknowledgement_due =
+            loop_event::after(loop_, request.options.acknowledged_within, [this, id] { check_silence(id); });
+    }
+}
+
+void upstream_pool::check_silence(std::uint64_t id) {
+    const auto found = active_.find(id);
+    if (found != active_.end() && !found->second->carrier->acknowledged) {
+        finish(*found->second, upstream_end::silent);
+    }
 }
 
 void upstream_pool::finish(active& request, upstream_end end) {
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -1,6 +1,8 @@
 #include "waxwingfall/machine/worker_gate.h"
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
 
 namespace waxwingfall {
 
@@ -15,6 +17,23 @@
 constexpr int first_failure_status = 400;
 constexpr int status_ok = 200;
 
+/// How urgent a request is, by what the caller's node says of it.
+waiting_request read_urgency(evhttp_request* raw, std::uint64_t id, time_point deadline, time_point now) {
+    const auto number = [&](const char* name) -> std::optional<std::uint32_t> {
+        const std::string text = request_header(raw, name);
+        std::uint32_t value = 0;
+        const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+        return text.empty() || read.ec != std::errc{} ? std::nullopt : std::optional(value);
+    };
+    waiting_request waiting{id, deadline, number(call_header::priority).value_or(0), std::nullopt};
+    const auto goal = number(call_header::goal_ms);
+    // The most urgent requests are calls of requests that already run: late is better than not at all.
+    if (goal && waiting.priority > 0) {
+        waiting.goal = now + milliseconds(*goal);
+    }
+    return waiting;
+}
+
 probe_result probe_result_of(const http_answer& answer) {
     switch (answer.how) {
     case http_answer::delivery::answered:
@@ -73,6 +92,10 @@
 
 std::vector<http_header> worker_gate::with_load(std::vector<http_header> headers) const {
     headers.push_back({call_header::load, std::to_string(static_cast<int>(load_of(admission_)))});
+    if (admission_.mean_run_ms > 0) {
+        headers.push_back(
+            {call_header::mean_run_ms, std::to_string(static_cast<int>(admission_.mean_run_ms) + 1)});
+    }
     return headers;
 }
 
@@ -81,10 +104,11 @@
     const std::uint64_t id = next_id_++;
     auto made = std::make_unique<request>();
     made->caller = std::make_unique<downstream>(raw);
+    made->caller->acknowledge();
     const auto fault = read_request(raw, made->received);
     made->deadline = read_deadline(made->received.request.headers, longest_call, now);
     made->started = now;
-    const waiting_request waiting{id, made->deadline};
+    const waiting_request waiting = read_urgency(raw, id, made->deadline, now);
     const std::string fingerprint = made->received.fingerprint;
     requests_.emplace(id, std::move(made));
     follow_contract();
@@ -101,7 +125,11 @@
         refuse(id, refusal);
         return;
     }
-    switch (admit(admission_, waiting, now)) {
+    const admission_verdict verdict = admit(admission_, waiting, now);
+    if (!admission_.displaced.empty()) {
+        apply(review_queue(admission_, now));
+    }
+    switch (verdict) {
     case admission_verdict::run:
         run(id);
         break;
@@ -154,17 +182,16 @@
     callbacks.on_end = [this, id](upstream_end end) { on_end(id, end); };
     const std::string attempt = header_value(sent.headers, platform::header::attempt_id);
     const auto echo =
-        attempt.empty() ? std::nullopt
-                        : std::optional(http_header{platform::header::attempt_id, attempt});
-    started.upstream =
-        worker_.send(node_.settings.worker, sent, milliseconds(left), std::move(callbacks), echo);
+        attempt.empty() ? std::nullopt : std::optional(http_header{platform::header::attempt_id, attempt});
+    started.upstream = worker_.send(node_.settings.worker, sent, {milliseconds(left), echo, milliseconds(0)},
+                                    std::move(callbacks));
 }
 
 void worker_gate::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     request& running = *requests_.at(id);
-    running.worker_refused = status == platform::misdirected_status ||
-                             (status >= first_failure_status &&
-                              !header_value(headers, call_header::not_run).empty());
+    running.worker_refused =
+        status == platform::misdirected_status ||
+        (status >= first_failure_status && !header_value(headers, call_header::not_run).empty());
     auto passed = with_load(passable_headers(headers));
     const outcome result = running.worker_refused ? outcome::not_run : outcome::done;
     passed.push_back({call_header::outcome, std::string(outcome_name(result))});
@@ -248,8 +275,7 @@
     node_.counts.refused_by_gate += 1;
     node_.log.write(
         event_id::request_refused, wall_now(),
-        {{"request",
-          header_value(requests_.at(id)->received.request.headers, platform::header::attempt_id)},
+        {{"request", header_value(requests_.at(id)->received.request.headers, platform::header::attempt_id)},
          {"reason", std::string(answer_of(kind).name)},
          {"running", std::to_string(admission_.running)},
          {"waiting", std::to_string(admission_.waiting.size())}});
--- a/lib/standin/load.cpp
+++ b/lib/standin/load.cpp
@@ -121,7 +121,7 @@
         settle(request, state->outcome == "not-run" ? told::not_run : told::unknown, state->reason);
     };
     const ip_address node = options_.nodes[random_below(random_, options_.nodes.size())];
-    pool_.send(node, sent, options_.timeout, std::move(callbacks));
+    pool_.send(node, sent, {options_.timeout, std::nullopt, milliseconds(0)}, std::move(callbacks));
 }
 
 void load::settle(caller_request& request, told what, const std::string& reason) {
--- a/lib/store/store_client.cpp
+++ b/lib/store/store_client.cpp
@@ -95,7 +95,8 @@
     return newest;
 }
 
-/// Reads a key as a list of one: unlike the answer about an absent key, a list always names the store's revision.
+/// Reads a key as a list of one: unlike the answer about an absent key, a list always names the store's
+/// revision.
 void read_current(const store_client& client, const std::string& key, store_callback done) {
     call(client, platform::encode_list(key, {}), client.timeout,
          [key, done = std::move(done)](store_answer result, const http_answer& answer) {
@@ -162,7 +163,8 @@
     }
     call(client, platform::encode_watch(key, known, wait), wait + watch_margin,
          [client, key, done = std::move(done)](store_answer result, const http_answer& answer) {
-             if (answer.how == http_answer::delivery::answered && answer.status == wire_status::history_gone) {
+             if (answer.how == http_answer::delivery::answered &&
+                 answer.status == wire_status::history_gone) {
                  read_current(client, key, done);
                  return;
              }
--- a/unittests/machine/upstream_test.cpp
+++ b/unittests/machine/upstream_test.cpp
@@ -86,7 +86,7 @@
         seen.ends += 1;
     };
     pool.send(address, {EVHTTP_REQ_POST, "/pay", {{"Host", "h"}, {"Content-Length", "1"}}, "x"},
-              milliseconds(500), callbacks);
+              {milliseconds(500), std::nullopt, milliseconds(0)}, callbacks);
     loop.run_for(milliseconds(300));
     return seen;
 }
@@ -172,7 +172,8 @@
     void take() {
         const int connection = accept(listener_, nullptr, nullptr);
         connections_.push_back(connection);
-        readings_.push_back(loop_event::on_readable(loop_, connection, [this, connection] { serve(connection); }));
+        readings_.push_back(
+            loop_event::on_readable(loop_, connection, [this, connection] { serve(connection); }));
     }
     void serve(int connection) {
         char buffer[4096];
@@ -215,8 +216,8 @@
         seen.body += piece;
     };
     callbacks.on_end = [&](upstream_end end) { seen.end = end; };
-    pool.send(address, {EVHTTP_REQ_GET, "/", {{"Host", "h"}, {"X-Id", id}}, {}}, milliseconds(200), callbacks,
-              http_header{"X-Id", id});
+    pool.send(address, {EVHTTP_REQ_GET, "/", {{"Host", "h"}, {"X-Id", id}}, {}},
+              {milliseconds(200), http_header{"X-Id", id}, milliseconds(0)}, callbacks);
     loop.run_for(milliseconds(100));
     return seen;
 }
@@ -226,7 +227,8 @@
 TEST(Upstream, AnAnswerToAnotherRequestIsSkipped) {
     event_loop loop;
     upstream_pool pool(loop, milliseconds(1000));
-    const scripted_worker worker(loop, {answer_text("a", "first"), answer_text("a", "again") + answer_text("b", "own")});
+    const scripted_worker worker(
+        loop, {answer_text("a", "first"), answer_text("a", "again") + answer_text("b", "own")});
     EXPECT_EQ(send_with_id(loop, pool, worker.address(), "a").body, "first");
     const echoed second = send_with_id(loop, pool, worker.address(), "b");
     EXPECT_EQ(second.body, "own");
@@ -237,7 +239,8 @@
 TEST(Upstream, AConnectionWithBytesThatNobodyAskedForIsNotUsedAgain) {
     event_loop loop;
     upstream_pool pool(loop, milliseconds(1000));
-    const scripted_worker worker(loop, {answer_text("a", "first") + answer_text("a", "extra"), answer_text("b", "own")});
+    const scripted_worker worker(
+        loop, {answer_text("a", "first") + answer_text("a", "extra"), answer_text("b", "own")});
     EXPECT_EQ(send_with_id(loop, pool, worker.address(), "a").body, "first");
     EXPECT_EQ(send_with_id(loop, pool, worker.address(), "b").body, "own");
     EXPECT_EQ(worker.connections(), 2U);
@@ -246,7 +249,8 @@
 TEST(Upstream, AConnectionThatItsWorkerCallsShortLivedIsNotUsedAgain) {
     event_loop loop;
     upstream_pool pool(loop, milliseconds(1000));
-    const std::string brief = "HTTP/1.1 200 OK\r\nX-Id: a\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n";
+    const std::string brief =
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n";
     const scripted_worker worker(loop, {brief, answer_text("b", "own")});
     EXPECT_EQ(send_with_id(loop, pool, worker.address(), "a").end, upstream_end::complete);
     EXPECT_EQ(send_with_id(loop, pool, worker.address(), "b").body, "own");
