Tests of the adapter, of what a node knows of its worker, of placement and of admission

Found by them: urgent requests at twice the capacity let none of the others start (0 of 400 starts); one place of the queue is kept for the least urgent kind now.

--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -23,6 +23,17 @@
     return now + wait_behind(state, ahead) + run > request.goal.value_or(request.deadline);
 }
 
+/// True if a request is the only one of the least urgent kind that waits. One place in the queue is kept for
+/// it.
+bool is_only_least_urgent(const admission& state, std::uint32_t priority) {
+    return state.waiting.empty() || state.waiting.back().priority < priority;
+}
+
+/// True if the kept place makes the request start in time, after the starts that go to others before.
+bool reaches_kept_start(const admission& state, const waiting_request& request, time_point now) {
+    return !comes_too_late(state, request, starts_per_least_urgent, now);
+}
+
 void displace(admission& state, std::size_t index) {
     state.displaced.push_back(state.waiting[index].id);
     state.waiting.erase(state.waiting.begin() + static_cast<std::ptrdiff_t>(index));
@@ -64,15 +75,23 @@
         [](std::uint32_t priority, const waiting_request& each) { return priority < each.priority; });
     const auto ahead = static_cast<std::size_t>(place - state.waiting.begin());
     const bool is_full = state.waiting.size() >= state.queue_limit;
-    if ((is_full && place == state.waiting.end()) || comes_too_late(state, request, ahead, now)) {
+    const bool is_kept = state.queue_limit > 1 && is_only_least_urgent(state, request.priority) &&
+                         reaches_kept_start(state, request, now);
+    const bool has_place = !is_full || place != state.waiting.end();
+    if (!is_kept && (!has_place || comes_too_late(state, request, ahead, now))) {
         return admission_verdict::refuse_overloaded;
     }
-    state.waiting.insert(place, request);
     if (is_full) {
+        // The latest of the least urgent, or of the more urgent ones for a kept place.
         displace(state, state.waiting.size() - 1);
     }
+    state.waiting.insert(
+        state.waiting.begin() + static_cast<std::ptrdiff_t>(std::min(ahead, state.waiting.size())), request);
     for (std::size_t index = state.waiting.size(); index-- > ahead + 1;) {
-        if (comes_too_late(state, state.waiting[index], index, now)) {
+        const waiting_request& behind = state.waiting[index];
+        const bool keeps_place = state.waiting[index - 1].priority < behind.priority &&
+                                 index + 1 == state.waiting.size() && reaches_kept_start(state, behind, now);
+        if (!keeps_place && comes_too_late(state, behind, index, now)) {
             displace(state, index);
         }
     }
--- /dev/null
+++ b/unittests/call/placement_test.cpp
@@ -0,0 +1,203 @@
+#include "waxwingfall/call/placement.h"
+
+#include <deque>
+#include <map>
+
+#include <gtest/gtest.h>
+
+using namespace waxwingfall;
+
+namespace {
+
+constexpr time_point start{};
+
+member worker(member_id id, const std::string& data_centre) {
+    member made;
+    made.id = id;
+    made.data_centre = data_centre;
+    made.region = "r";
+    made.service = "s";
+    made.inbound_address = "a" + std::to_string(id);
+    made.slots = 4;
+    return made;
+}
+
+routing_table table_of(const std::vector<member>& workers) {
+    routing_table table;
+    table.policy.rule = pick_rule::expected_finish;
+    table.data_centre = "here";
+    table.region = "r";
+    for (const member& each : workers) {
+        update_endpoint(table, each, start);
+    }
+    return table;
+}
+
+placement_question question(bool large = false) {
+    return {"s", {}, 1, large};
+}
+
+void report(routing_table& table, member_id id, double load, double mean_run_ms, time_point now) {
+    begin_try(table, "s", id);
+    end_try(table, "s", id, try_result::answered, {load, mean_run_ms, 1}, now);
+}
+
+} // namespace
+
+TEST(Placement, PassesOverAnEndpointThatCannotBeReachedUntilItsTimeIsOver) {
+    routing_table table = table_of({worker(1, "here"), worker(2, "here")});
+    random_source random(1);
+    begin_try(table, "s", 1);
+    end_try(table, "s", 1, try_result::unreachable, {}, start);
+    for (int index = 0; index < 20; ++index) {
+        EXPECT_EQ(place_call(table, question(), start, random), member_id{2});
+    }
+    const endpoint& lost = table.services.at("s").at(1);
+    EXPECT_EQ(lost.unreachable_until, start + table.policy.first_cut);
+}
+
+TEST(Placement, TwoUnreachableEndpointsOfADataCentreAreACut) {
+    routing_table table = table_of({worker(1, "there"), worker(2, "there"), worker(3, "there")});
+    random_source random(1);
+    for (const member_id id : {1U, 2U}) {
+        begin_try(table, "s", id);
+        end_try(table, "s", id, try_result::unreachable, {}, start);
+    }
+    EXPECT_EQ(place_call(table, question(), start, random), std::nullopt);
+    EXPECT_TRUE(place_call(table, question(), start + table.policy.longest_cut, random).has_value());
+    // One answer shows that the data centre is there after all.
+    begin_try(table, "s", 3);
+    end_try(table, "s", 3, try_result::answered, {}, start);
+    EXPECT_EQ(place_call(table, question(), start, random), member_id{3});
+}
+
+TEST(Placement, ARefusalHoldsForCallsThatAreNoMoreUrgent) {
+    routing_table table = table_of({worker(1, "here")});
+    random_source random(1);
+    begin_try(table, "s", 1);
+    end_try(table, "s", 1, try_result::refused, {std::nullopt, std::nullopt, 1}, start);
+    placement_question asked = question();
+    EXPECT_EQ(place_call(table, asked, start, random), std::nullopt);
+    asked.priority = 0;
+    EXPECT_EQ(place_call(table, asked, start, random), member_id{1});
+}
+
+TEST(Placement, LargeAnswersStayInTheirDataCentreUnlessThatIsFarSlower) {
+    routing_table table = table_of({worker(1, "here"), worker(2, "there")});
+    random_source random(1);
+    report(table, 1, 4, 200, start);
+    report(table, 2, 0, 200, start);
+    EXPECT_EQ(place_call(table, question(true), start, random), member_id{1});
+    EXPECT_EQ(place_call(table, question(false), start, random), member_id{2});
+    report(table, 1, 30, 200, start);
+    EXPECT_EQ(place_call(table, question(true), start, random), member_id{2});
+}
+
+TEST(Placement, AWorkerThatFailsItsCallsGetsFew) {
+    routing_table table = table_of({worker(1, "here"), worker(2, "here")});
+    random_source random(1);
+    for (int index = 0; index < 20; ++index) {
+        begin_try(table, "s", 1);
+        end_try(table, "s", 1, index % 2 == 0 ? try_result::failed : try_result::answered, {0, 100, 1},
+                start);
+        report(table, 2, 0, 100, start);
+    }
+    int failing = 0;
+    for (int index = 0; index < 100; ++index) {
+        failing += place_call(table, question(), start, random) == member_id{1} ? 1 : 0;
+    }
+    EXPECT_LT(failing, 10);
+}
+
+namespace {
+
+/// Three workers of four slots whose runs take 100, 200 and 300 ms, and callers who send `calls_per_s`.
+class unequal_workers {
+public:
+    explicit unequal_workers(pick_rule rule)
+        : table_(table_of({worker(1, "here"), worker(2, "here"), worker(3, "here")})), random_(7) {
+        table_.policy.rule = rule;
+    }
+
+    /// The share of calls that took longer than `goal`, over a minute.
+    double late_share(std::uint64_t calls_per_s, milliseconds goal) {
+        constexpr int minute_ms = 60'000;
+        int late = 0;
+        int calls = 0;
+        for (int step = 0; step < minute_ms; ++step) {
+            now_ = start + milliseconds(minute_ms + step);
+            late += end_runs(goal);
+            constexpr std::uint64_t steps_per_s = 1000;
+            if (random_below(random_, steps_per_s) < calls_per_s) {
+                ++calls;
+                place();
+            }
+        }
+        return static_cast<double>(late) / calls;
+    }
+
+private:
+    struct played_worker {
+        std::uint32_t running = 0;
+        std::deque<time_point> waiting; ///< by arrival
+    };
+
+    static milliseconds run_of(member_id id) { return milliseconds(100 * static_cast<int>(id)); }
+
+    void start_run(member_id id, time_point arrived) {
+        workers_[id].running += 1;
+        ends_.emplace(now_ + run_of(id), std::pair(id, arrived));
+    }
+
+    void place() {
+        const auto picked = table_.policy.rule == pick_rule::expected_finish
+                                ? place_call(table_, question(), now_, random_)
+                                : pick_endpoint(table_, "s", {}, now_, random_);
+        begin_try(table_, "s", *picked);
+        constexpr std::uint32_t slots = 4;
+        if (workers_[*picked].running < slots) {
+            start_run(*picked, now_);
+        } else {
+            workers_[*picked].waiting.push_back(now_);
+        }
+    }
+
+    int end_runs(milliseconds goal) {
+        int late = 0;
+        while (!ends_.empty() && ends_.begin()->first <= now_) {
+            const auto [id, arrived] = ends_.begin()->second;
+            ends_.erase(ends_.begin());
+            late += now_ - arrived > goal ? 1 : 0;
+            played_worker& ended = workers_[id];
+            ended.running -= 1;
+            if (!ended.waiting.empty()) {
+                const time_point next = ended.waiting.front();
+                ended.waiting.pop_front();
+                start_run(id, next);
+            }
+            const double load =
+                static_cast<double>(ended.running) + static_cast<double>(ended.waiting.size());
+            end_try(table_, "s", id, try_result::answered, {load, static_cast<double>(run_of(id).count()), 1},
+                    now_);
+        }
+        return late;
+    }
+
+    routing_table table_;
+    random_source random_;
+    time_point now_;
+    std::map<member_id, played_worker> workers_;
+    std::multimap<time_point, std::pair<member_id, time_point>> ends_;
+};
+
+} // namespace
+
+// 66 calls a second on workers that finish 73: nine tenths of their capacity.
+TEST(Placement, UnequalWorkersAnswerNearlyAllCallsWithinTheirObjective) {
+    const double by_finish = unequal_workers(pick_rule::expected_finish).late_share(66, milliseconds(600));
+    const double by_load = unequal_workers(pick_rule::two_choices).late_share(66, milliseconds(600));
+    EXPECT_LT(by_finish, 0.02);
+    EXPECT_LT(by_finish, by_load);
+    RecordProperty("late_share_by_finish", std::to_string(by_finish));
+    RecordProperty("late_share_by_load", std::to_string(by_load));
+}
--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -1,3 +1,4 @@
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -157,6 +158,73 @@
     }
 }
 
+namespace {
+
+/// A worker with one slot that is busy, whose runs take 100 ms.
+admission busy_worker() {
+    admission state;
+    state.slots = 1;
+    state.queue_limit = 8;
+    state.running = 1;
+    state.mean_run_ms = 100;
+    return state;
+}
+
+waiting_request asked(std::uint64_t id, std::uint32_t priority, int goal_ms) {
+    return {id, start + milliseconds(5000), priority, start + milliseconds(goal_ms)};
+}
+
+} // namespace
+
+TEST(Admission, RefusesOnArrivalWhatCannotMeetItsObjective) {
+    admission state = busy_worker();
+    EXPECT_EQ(admit(state, asked(1, 1, 200), start), admission_verdict::wait);
+    EXPECT_EQ(admit(state, asked(2, 1, 250), start), admission_verdict::refuse_overloaded);
+    EXPECT_EQ(admit(state, asked(3, 1, 300), start), admission_verdict::wait);
+}
+
+TEST(Admission, UrgentRequestsStartFirstAndDisplaceWhatThenComesTooLate) {
+    admission state = busy_worker();
+    EXPECT_EQ(admit(state, asked(1, 2, 250), start), admission_verdict::wait);
+    EXPECT_EQ(admit(state, asked(2, 2, 900), start), admission_verdict::wait);
+    EXPECT_EQ(admit(state, asked(3, 0, 250), start), admission_verdict::wait);
+    const admission_turn turn = release_slot(state, milliseconds(100), start);
+    EXPECT_EQ(turn.run, (std::vector<std::uint64_t>{3}));
+    EXPECT_EQ(turn.expired, (std::vector<std::uint64_t>{1}));
+    EXPECT_EQ(release_slot(state, milliseconds(100), start).run, (std::vector<std::uint64_t>{2}));
+}
+
+TEST(Admission, AFullQueueGivesItsLastPlaceToAMoreUrgentRequest) {
+    admission state = busy_worker();
+    state.queue_limit = 1;
+    EXPECT_EQ(admit(state, asked(1, 2, 900), start), admission_verdict::wait);
+    EXPECT_EQ(admit(state, asked(2, 2, 900), start), admission_verdict::refuse_overloaded);
+    EXPECT_EQ(admit(state, asked(3, 1, 900), start), admission_verdict::wait);
+    EXPECT_EQ(review_queue(state, start).expired, (std::vector<std::uint64_t>{1}));
+}
+
+// Urgent requests at twice the capacity: the others still get their share of starts.
+TEST(Admission, NoKindOfRequestStarves) {
+    admission state = busy_worker();
+    std::map<std::uint32_t, int> started;
+    std::uint64_t next = 1;
+    std::map<std::uint64_t, std::uint32_t> priority_of;
+    time_point now = start;
+    for (int round = 0; round < 400; ++round) {
+        for (const std::uint32_t priority : {0U, 0U, 2U}) {
+            const std::uint64_t id = next++;
+            priority_of[id] = priority;
+            admit(state, {id, now + milliseconds(1000), priority, std::nullopt}, now);
+        }
+        now += milliseconds(100);
+        for (const std::uint64_t id : release_slot(state, milliseconds(100), now).run) {
+            started[priority_of.at(id)] += 1;
+        }
+    }
+    EXPECT_GE(started[2], 400 / 10);
+    EXPECT_GE(started[0], 400 * 3 / 4);
+}
+
 TEST(Admission, RefusesWhatLeavesOrComesTooLate) {
     admission state;
     EXPECT_EQ(admit(state, {1, start}, start), admission_verdict::refuse_deadline);
@@ -184,6 +252,46 @@
     EXPECT_EQ(outcome_of(error_kind::idempotency_key_reused, true, false), outcome::not_run);
 }
 
+TEST(Split, GivesEachServiceItsShare) {
+    route_contract route;
+    route.split = {{"one", 90}, {"two", 10}, {"zero", 0}};
+    random_source random(3);
+    std::map<std::string, int> counts;
+    for (int index = 0; index < 2000; ++index) {
+        counts[choose_service(route, random)] += 1;
+    }
+    EXPECT_NEAR(counts["two"], 200, 60);
+    EXPECT_EQ(counts["zero"], 0);
+    route.split.clear();
+    route.service = "only";
+    EXPECT_EQ(choose_service(route, random), "only");
+}
+
+TEST(Kinds, SayWhatMayRunTwice) {
+    route_contract route;
+    route.non_idempotent_methods = {"POST"};
+    EXPECT_TRUE(runs_once(route, "POST"));
+    EXPECT_TRUE(needs_key(route, "POST"));
+    EXPECT_FALSE(runs_once(route, "GET"));
+    route.kind = request_kind::non_idempotent;
+    EXPECT_TRUE(runs_once(route, "GET"));
+    EXPECT_FALSE(needs_key(route, "POST"));
+    route.kind = request_kind::download;
+    EXPECT_FALSE(runs_once(route, "POST"));
+}
+
+TEST(RetryAfter, IsSpreadAndFollowsTheLoad) {
+    random_source random(3);
+    std::set<double> seen;
+    for (int index = 0; index < 50; ++index) {
+        const double wait = retry_after_s(milliseconds(1000), random);
+        EXPECT_GE(wait, 1.25);
+        EXPECT_LT(wait, 1.75);
+        seen.insert(wait);
+    }
+    EXPECT_GT(seen.size(), 30U);
+}
+
 TEST(Retries, ACallInsideARetryIsNotTriedAgain) {
     const time_point later = start + milliseconds(1);
     EXPECT_TRUE(may_try_again({1, 3, false, later}, start));
--- /dev/null
+++ b/unittests/platform/configuration_wire_test.cpp
@@ -0,0 +1,109 @@
+#include "platform/configuration_wire.h"
+
+#include <string>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "waxwingfall/contract/snapshot.h"
+
+using namespace waxwingfall;
+using namespace waxwingfall::platform;
+
+namespace {
+
+const std::string good_text =
+    R"({"version":"r7","routes":{"columns":["name","host","prefix","kind","timeout","goal","priority","service",)"
+    R"("attempts","split"],"rows":[["r-1","b.example","/p/","non_idempotent","1500ms","0.8s",1,"one",2,null],)"
+    R"(["r-2","a.example","/l/","idempotent",null,"600ms",2,null,2,)"
+    R"([{"service":"two","weight":10},{"service":"one","weight":90}]]]},)"
+    R"("services":{"columns":["name","health","max_conns","protocol","tls"],)"
+    R"("rows":[["two","/ok",110,"h1",false],["one","/health",110,"h1",false]]},)"
+    R"("limits":{"header_bytes":16384,"body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}})";
+
+std::optional<accepted_configuration> decoded(const std::string& text) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<accepted_configuration>> {
+            BOOST_LEAF_AUTO(value, decode_configuration(text));
+            return std::optional(value);
+        },
+        [](const fault_list& list) {
+            EXPECT_FALSE(list.faults.empty());
+            return std::optional<accepted_configuration>();
+        },
+        [] {
+            ADD_FAILURE() << "an error without its faults";
+            return std::optional<accepted_configuration>();
+        });
+}
+
+std::string replaced(const std::string& from, const std::string& to) {
+    std::string text = good_text;
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST(ConfigurationWire, ReadsRoutesServicesAndLimits) {
+    const auto read = decoded(good_text);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->version, 7U);
+    ASSERT_EQ(read->content.routes.size(), 2U);
+    const route_contract& split = read->content.routes.at(0);
+    EXPECT_EQ(split.host, "a.example");
+    EXPECT_EQ(split.kind, request_kind::idempotent);
+    EXPECT_EQ(split.timeout_ms, 0U);
+    EXPECT_EQ(split.split, (std::vector<weighted_service>{{"one", 90}, {"two", 10}}));
+    EXPECT_TRUE(split.service.empty());
+    const route_contract& once = read->content.routes.at(1);
+    EXPECT_EQ(once.kind, request_kind::non_idempotent);
+    EXPECT_EQ(once.timeout_ms, 1500U);
+    EXPECT_EQ(once.goal_ms, 800U);
+    EXPECT_EQ(once.priority, 1U);
+    EXPECT_EQ(once.max_attempts, 2U);
+    EXPECT_EQ(once.service, "one");
+    EXPECT_EQ(read->content.services.at(1).health_path, "/ok");
+    EXPECT_EQ(read->content.services.at(1).max_connections, 110U);
+    EXPECT_EQ(read->content.limits, (caller_limits{16384, 67108864, 3000, 15000}));
+}
+
+TEST(ConfigurationWire, WhatItReadsIsEnforceableAndTheSameAfterDistribution) {
+    const contract content = decoded(good_text)->content;
+    EXPECT_EQ(why_refused(encode_contract(content)), "");
+    EXPECT_EQ(decode_contract(encode_contract(content)), content);
+}
+
+TEST(ConfigurationWire, AnUnknownKindRunsAtMostOnce) {
+    const auto read = decoded(replaced(R"("idempotent")", R"("streamed")"));
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->content.routes.at(0).kind, request_kind::non_idempotent);
+}
+
+TEST(ConfigurationWire, RefusesWhatCannotBeRead) {
+    EXPECT_FALSE(decoded(""));
+    EXPECT_FALSE(decoded("[]"));
+    EXPECT_FALSE(decoded(replaced("r7", "7")));
+    EXPECT_FALSE(decoded(replaced("r7", "r0")));
+    EXPECT_FALSE(decoded(replaced("r7", "r7x")));
+    EXPECT_FALSE(decoded(replaced("1500ms", "1500")));
+    EXPECT_FALSE(decoded(replaced("1500ms", "soon")));
+    EXPECT_FALSE(decoded(replaced(R"("/p/")", "7")));
+    EXPECT_FALSE(decoded(replaced(R"("weight":90)", R"("weight":-90)")));
+    EXPECT_FALSE(decoded(replaced(R"(,2,null],)", R"(,2],)")));
+    EXPECT_FALSE(decoded(replaced(R"("rows":[["two")", R"("rows":[["three")")));
+    EXPECT_FALSE(decoded(replaced(R"("columns":["name","host")", R"("columns":["name","hosts")")));
+}
+
+RC_GTEST_PROP(ConfigurationWire, AnyBytesAreRefused, (const std::string& bytes)) {
+    RC_ASSERT(!decoded(bytes));
+}
+
+RC_GTEST_PROP(ConfigurationWire, ADamagedTextIsRefusedOrEnforceable, ()) {
+    std::string text = good_text;
+    const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[place] = static_cast<char>(*rc::gen::inRange(32, 127));
+    const auto read = decoded(text);
+    const bool is_refused = !read;
+    RC_ASSERT((is_refused || why_refused(encode_contract(read->content)).empty()));
+}
