--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -31,7 +32,8 @@
     std::deque<waiting_request> waiting;  ///< by priority, then in the order of arrival
     std::vector<std::uint64_t> displaced; ///< by more urgent requests, to be refused with the next turn
     std::uint32_t starts_since_least = 0; ///< turns since the least urgent request was last preferred
-    double mean_run_ms = 0;               ///< exponentially weighted
+    double mean_run_ms = 0;               ///< of all runs, exponentially weighted
+    std::map<std::uint32_t, double> mean_run_ms_of; ///< the same by priority
     bool leaving = false;
 };
 
@@ -51,7 +53,7 @@
 };
 
 /// Notes that a request that ran for `ran` has ended, and fills the slot.
-admission_turn release_slot(admission& state, milliseconds ran, time_point now);
+admission_turn release_slot(admission& state, milliseconds ran, time_point now, std::uint32_t priority = 0);
 
 /// Drops requests that have waited past their deadline or were displaced, and fills free slots.
 admission_turn review_queue(admission& state, time_point now);
@@ -62,8 +64,9 @@
 /// Running and waiting requests: the load that answers carry back.
 double load_of(const admission& state);
 
-/// How long until a request that arrives now would start, by the mean of past runs.
-milliseconds expected_wait(const admission& state);
+/// How much earlier a request that was refused as too late would have to start: when a request like it may be
+/// taken.
+milliseconds missing_time(const admission& state, const waiting_request& request, time_point now);
 
 } // namespace waxwingfall
 
--- a/include/waxwingfall/call/placement.h
+++ b/include/waxwingfall/call/placement.h
@@ -26,10 +26,6 @@
 std::optional<member_id> place_call(const routing_table& table, const placement_question& question,
                                     time_point now, random_source& random);
 
-/// Milliseconds until a call would be answered by an endpoint, with what its failures and its distance cost.
-double expected_finish_ms(const routing_table& table, const endpoint& candidate, bool large_answer,
-                          time_point now);
-
 } // namespace waxwingfall
 
 #endif
--- a/include/waxwingfall/call/routing.h
+++ b/include/waxwingfall/call/routing.h
@@ -25,7 +25,8 @@
     std::uint32_t healthy_floor_percent = 50; ///< below which ejections in a data centre are not heeded
     milliseconds slow_start{10000};           ///< over which a new endpoint reaches its full share
     milliseconds load_lifetime{2000};         ///< after which a reported load is not believed
-    milliseconds refusal_pause{100};          ///< for which an endpoint that refused is passed over
+    milliseconds refusal_pause{100};          ///< for which an endpoint that refused is passed over at most
+    milliseconds least_refusal_pause{10};     ///< about a round trip between data centres
     milliseconds first_cut{500};              ///< for which an endpoint that can't be reached is passed over;
                                               ///< doubles with each further time in a row
     milliseconds longest_cut{4000};
@@ -78,9 +79,10 @@
 
 /// What an endpoint says of itself in its answers.
 struct endpoint_report {
-    std::optional<double> load;        ///< running and waiting requests
-    std::optional<double> mean_run_ms; ///< of its worker
-    std::uint32_t priority = 0;        ///< of the call that it answers
+    std::optional<double> load;          ///< running and waiting requests
+    std::optional<double> mean_run_ms;   ///< of its worker
+    std::uint32_t priority = 0;          ///< of the call that it answers
+    std::optional<milliseconds> pause{}; ///< after a refusal, until a call like this one may be taken
     auto operator<=>(const endpoint_report&) const = default;
 };
 
--- a/include/waxwingfall/machine/call_headers.h
+++ b/include/waxwingfall/machine/call_headers.h
@@ -27,6 +27,8 @@
 inline constexpr const char* priority = "X-Waxwingfall-Priority"; ///< between nodes: that of the route
 inline constexpr const char* goal_ms =
     "X-Waxwingfall-Goal-Ms"; ///< between nodes: what is left of the latency objective
+inline constexpr const char* pause_ms =
+    "X-Waxwingfall-Pause-Ms"; ///< between nodes: when a request like the refused one may be taken
 inline constexpr const char* replayed = "X-Waxwingfall-Replayed"; ///< the answer of an earlier run
 inline constexpr const char* version = "X-Waxwingfall-Version";   ///< the document that was in force
 } // namespace call_header
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -11,16 +11,37 @@
 /// Of so many starts one goes to the least urgent request, so that no kind of request starves.
 constexpr std::uint32_t starts_per_least_urgent = 8;
 
-/// How long a request with `ahead` others before it waits, by the mean of past runs.
-milliseconds wait_behind(const admission& state, std::size_t ahead) {
-    const double rounds = static_cast<double>(ahead + 1) / std::max(1U, state.slots);
-    return milliseconds(static_cast<std::int64_t>(rounds * state.mean_run_ms));
+double run_ms_of(const admission& state, std::uint32_t priority) {
+    const auto known = state.mean_run_ms_of.find(priority);
+    return known == state.mean_run_ms_of.end() ? state.mean_run_ms : known->second;
+}
+
+/// When a request with the first `ahead` waiting ones before it would end, by the means of past runs.
+time_point expected_end(const admission& state, const waiting_request& request, std::size_t ahead,
+                        time_point now) {
+    // One of the running requests has to end first; which, and how much of it is left, is not known.
+    double work = state.mean_run_ms;
+    for (std::size_t index = 0; index < std::min(ahead, state.waiting.size()); ++index) {
+        work += run_ms_of(state, state.waiting[index].priority);
+    }
+    const double ms = work / std::max(1U, state.slots) + run_ms_of(state, request.priority);
+    return now + milliseconds(static_cast<std::int64_t>(ms));
 }
 
 bool comes_too_late(const admission& state, const waiting_request& request, std::size_t ahead,
                     time_point now) {
-    const auto run = milliseconds(static_cast<std::int64_t>(state.mean_run_ms));
-    return now + wait_behind(state, ahead) + run > request.goal.value_or(request.deadline);
+    return expected_end(state, request, ahead, now) > request.goal.value_or(request.deadline);
+}
+
+void learn(double& mean, double sample) {
+    mean = mean == 0 ? sample : mean * (1 - mean_weight) + sample * mean_weight;
+}
+
+std::size_t count_ahead(const admission& state, std::uint32_t priority) {
+    const auto place =
+        std::upper_bound(state.waiting.begin(), state.waiting.end(), priority,
+                         [](std::uint32_t own, const waiting_request& each) { return own < each.priority; });
+    return static_cast<std::size_t>(place - state.waiting.begin());
 }
 
 /// True if a request is the only one of the least urgent kind that waits. One place in the queue is kept for
@@ -31,7 +52,9 @@
 
 /// True if the kept place makes the request start in time, after the starts that go to others before.
 bool reaches_kept_start(const admission& state, const waiting_request& request, time_point now) {
-    return !comes_too_late(state, request, starts_per_least_urgent, now);
+    const double wait = state.mean_run_ms * starts_per_least_urgent / std::max(1U, state.slots);
+    const auto ms = static_cast<std::int64_t>(wait + run_ms_of(state, request.priority));
+    return now + milliseconds(ms) <= request.goal.value_or(request.deadline);
 }
 
 void displace(admission& state, std::size_t index) {
@@ -70,14 +93,11 @@
         state.running += 1;
         return admission_verdict::run;
     }
-    const auto place = std::upper_bound(
-        state.waiting.begin(), state.waiting.end(), request.priority,
-        [](std::uint32_t priority, const waiting_request& each) { return priority < each.priority; });
-    const auto ahead = static_cast<std::size_t>(place - state.waiting.begin());
+    const std::size_t ahead = count_ahead(state, request.priority);
     const bool is_full = state.waiting.size() >= state.queue_limit;
     const bool is_kept = state.queue_limit > 1 && is_only_least_urgent(state, request.priority) &&
                          reaches_kept_start(state, request, now);
-    const bool has_place = !is_full || place != state.waiting.end();
+    const bool has_place = !is_full || ahead < state.waiting.size();
     if (!is_kept && (!has_place || comes_too_late(state, request, ahead, now))) {
         return admission_verdict::refuse_overloaded;
     }
@@ -98,11 +118,11 @@
     return admission_verdict::wait;
 }
 
-admission_turn release_slot(admission& state, milliseconds ran, time_point now) {
+admission_turn release_slot(admission& state, milliseconds ran, time_point now, std::uint32_t priority) {
     state.running -= std::min(state.running, 1U);
     const auto sample = static_cast<double>(ran.count());
-    state.mean_run_ms =
-        state.mean_run_ms == 0 ? sample : state.mean_run_ms * (1 - mean_weight) + sample * mean_weight;
+    learn(state.mean_run_ms, sample);
+    learn(state.mean_run_ms_of[priority], sample);
     return review_queue(state, now);
 }
 
@@ -131,8 +151,10 @@
     return static_cast<double>(state.running) + static_cast<double>(state.waiting.size());
 }
 
-milliseconds expected_wait(const admission& state) {
-    return state.running < state.slots ? milliseconds(0) : wait_behind(state, state.waiting.size());
+milliseconds missing_time(const admission& state, const waiting_request& request, time_point now) {
+    const time_point end = expected_end(state, request, count_ahead(state, request.priority), now);
+    return std::max(milliseconds(0),
+                    std::chrono::duration_cast<milliseconds>(end - request.goal.value_or(request.deadline)));
 }
 
 } // namespace waxwingfall
--- a/lib/call/placement.cpp
+++ b/lib/call/placement.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Run time of an endpoint that has not said how long its runs take.
+/// Run time where no endpoint of a service has said how long its runs take.
 constexpr double default_run_ms = 200;
 
 /// Extra time per unit of load on the slots: workers slow down as they fill up, and news of load is late.
@@ -38,11 +38,21 @@
     return now < candidate.refused_until && priority >= candidate.refused_priority;
 }
 
-} // namespace
+/// Run time of an endpoint that has not said how long its runs take: that of the others of its service.
+double typical_run_ms(const std::map<member_id, endpoint>& group) {
+    double sum = 0;
+    double known = 0;
+    for (const auto& [id, each] : group) {
+        sum += each.mean_run_ms;
+        known += each.mean_run_ms > 0 ? 1 : 0;
+    }
+    return known == 0 ? default_run_ms : sum / known;
+}
 
-double expected_finish_ms(const routing_table& table, const endpoint& candidate, bool large_answer,
-                          time_point now) {
-    const double run = candidate.mean_run_ms > 0 ? candidate.mean_run_ms : default_run_ms;
+/// Milliseconds until a call would be answered by an endpoint, with what its failures and its distance cost.
+double expected_finish_ms(const routing_table& table, const endpoint& candidate, double typical_run,
+                          bool large_answer, time_point now) {
+    const double run = candidate.mean_run_ms > 0 ? candidate.mean_run_ms : typical_run;
     const double slots = std::max(1U, candidate.slots);
     const bool is_fresh = now - candidate.reported_at <= table.policy.load_lifetime;
     // Own calls that were started or ended since the report are known exactly.
@@ -58,12 +68,15 @@
     return candidate.suspect ? expected + failure_cost_ms : expected;
 }
 
+} // namespace
+
 std::optional<member_id> place_call(const routing_table& table, const placement_question& question,
                                     time_point now, random_source& random) {
     const auto group = table.services.find(question.service);
     if (group == table.services.end()) {
         return std::nullopt;
     }
+    const double typical_run = typical_run_ms(group->second);
     std::optional<member_id> best;
     double least = std::numeric_limits<double>::max();
     for (const auto& [id, candidate] : group->second) {
@@ -75,7 +88,8 @@
         constexpr std::uint64_t steps = 1000;
         const double factor =
             1 + variation * static_cast<double>(random_below(random, steps)) / static_cast<double>(steps);
-        const double expected = expected_finish_ms(table, candidate, question.large_answer, now) * factor;
+        const double expected =
+            expected_finish_ms(table, candidate, typical_run, question.large_answer, now) * factor;
         if (expected < least) {
             least = expected;
             best = id;
--- a/lib/call/routing.cpp
+++ b/lib/call/routing.cpp
@@ -217,7 +217,9 @@
         table.cut_data_centres.erase(used->data_centre);
     }
     if (result == try_result::refused) {
-        used->refused_until = now + table.policy.refusal_pause;
+        const milliseconds longest = table.policy.refusal_pause;
+        used->refused_until =
+            now + std::clamp(report.pause.value_or(longest), table.policy.least_refusal_pause, longest);
         used->refused_priority = report.priority;
         return;
     }
--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -294,7 +294,10 @@
 void call_proxy::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     call& answered = *calls_.at(id);
     answered.report = {number_in(headers, call_header::load), number_in(headers, call_header::mean_run_ms),
-                       answered.route->priority};
+                       answered.route->priority, std::nullopt};
+    if (const auto pause = number_in(headers, call_header::pause_ms)) {
+        answered.report.pause = milliseconds(static_cast<std::int64_t>(*pause));
+    }
     const std::string result = header_value(headers, call_header::outcome);
     if (result != outcome_name(outcome::done)) {
         // Held back: another try may still give the caller a real answer.
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -57,6 +57,7 @@
     bool running = false;
     bool worker_refused = false;
     bool timed_out = false;
+    waiting_request urgency;
 };
 
 worker_gate::worker_gate(node_context& node)
@@ -109,6 +110,7 @@
     made->deadline = read_deadline(made->received.request.headers, longest_call, now);
     made->started = now;
     const waiting_request waiting = read_urgency(raw, id, made->deadline, now);
+    made->urgency = waiting;
     const std::string fingerprint = made->received.fingerprint;
     requests_.emplace(id, std::move(made));
     follow_contract();
@@ -287,8 +289,12 @@
     // After the first piece, the only honest answer is a broken connection: destroying the answer does that.
     if (!failed.caller->has_begun()) {
         const outcome result = answer_of(kind).result;
-        failed.caller->reply(answer_of(kind).http_status, error_body(kind, result),
-                             with_load(error_headers(kind, result)));
+        auto headers = with_load(error_headers(kind, result));
+        if (kind == error_kind::overloaded) {
+            const milliseconds pause = missing_time(admission_, failed.urgency, monotonic_now());
+            headers.push_back({call_header::pause_ms, std::to_string(pause.count())});
+        }
+        failed.caller->reply(answer_of(kind).http_status, error_body(kind, result), headers);
     }
     remove(id);
 }
@@ -300,7 +306,7 @@
     const time_point now = monotonic_now();
     if (removed->running) {
         const milliseconds ran(std::max<std::int64_t>(1, elapsed_ms(removed->started, now)));
-        apply(release_slot(admission_, ran, now));
+        apply(release_slot(admission_, ran, now, removed->urgency.priority));
     } else {
         abandon(admission_, id);
     }
