--- a/lib/call/placement.cpp
+++ b/lib/call/placement.cpp
@@ -17,10 +17,11 @@
 constexpr double failure_cost_ms = 800;
 
 /// What a hop to another data centre costs: a round trip, and the bytes of a usual answer.
-constexpr double crossing_ms = 25;
+constexpr double crossing_ms = 40;
 
-/// What a large answer costs on that hop: more than a usual wait, less than a latency objective.
-constexpr double large_crossing_ms = 500;
+/// What a large answer costs on that hop: its bytes are worth more than the whole request, so it crosses only when
+/// its own data centre can't serve it.
+constexpr double large_crossing_ms = 2000;
 
 /// Share by which expected times are varied, so that nodes with the same news do not all pick the same
 /// endpoint.
