--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -40,6 +40,9 @@
 /// must not return together. `busy_for` is how long the service is expected to stay full; 0 if nobody knows.
 double retry_after_s(milliseconds busy_for, random_source& random);
 
+/// The error that ends a call after its last try: a refusal proves nothing once another try may have run.
+error_kind final_kind(error_kind last, bool may_have_run);
+
 /// What bears on another try of a call.
 struct retry_question {
     std::size_t reached = 0; ///< tries that may have reached a worker
--- a/include/waxwingfall/call/routing.h
+++ b/include/waxwingfall/call/routing.h
@@ -25,10 +25,12 @@
     std::uint32_t healthy_floor_percent = 50; ///< below which ejections in a data centre are not heeded
     milliseconds slow_start{10000};           ///< over which a new endpoint reaches its full share
     milliseconds load_lifetime{2000};         ///< after which a reported load is not believed
-    milliseconds refusal_pause{100};          ///< for which an endpoint that refused is passed over at most
-    milliseconds least_refusal_pause{10};     ///< about a round trip between data centres
-    milliseconds first_cut{500};              ///< for which an endpoint that can't be reached is passed over;
-                                              ///< doubles with each further time in a row
+    milliseconds run_lifetime{3000}; ///< after which a reported run time is not believed; cold workers warm
+                                     ///< up in as long
+    milliseconds refusal_pause{100};      ///< for which an endpoint that refused is passed over at most
+    milliseconds least_refusal_pause{10}; ///< about a round trip between data centres
+    milliseconds first_cut{500};          ///< for which an endpoint that can't be reached is passed over;
+                                          ///< doubles with each further time in a row
     milliseconds longest_cut{4000};
     double spill_load = 0.9; ///< load per slot from which other data centres are used as well
     auto operator<=>(const routing_policy&) const = default;
@@ -111,6 +113,10 @@
     double limit = 10;
 };
 
+/// The budget of one of `nodes` nodes that share `slack` retries without asking each other. It keeps half of
+/// its share back, because a node that starts again has its budget whole and others may not know of it yet.
+retry_budget share_of_slack(std::uint32_t slack, std::size_t nodes);
+
 /// Earns `percent` hundredths of a token for a first try.
 void earn_retry(retry_budget& budget, std::uint32_t percent);
 
--- a/include/waxwingfall/machine/call_proxy.h
+++ b/include/waxwingfall/machine/call_proxy.h
@@ -50,11 +50,15 @@
     void finish(std::uint64_t id);
     void fail(std::uint64_t id, error_kind kind);
     void replay(std::uint64_t id, const ledger_record& record);
+    void begin_answer(call& answered);
+    struct retry_budget& budget_of(const std::string& service);
     void log_failure(const call& failed, error_kind kind, outcome result);
     void settle(call& settled, std::uint32_t state);
     void remove(std::uint64_t id);
     void sweep();
-    bool may_retry(call& failed, time_point now);
+    /// True if a call may be tried again after `reached` tries that may have reached a worker; takes that
+    /// from the budget.
+    bool may_retry(call& failed, std::size_t reached, time_point now);
 
     node_context& node_;
     upstream_pool workers_;
--- a/include/waxwingfall/machine/node_context.h
+++ b/include/waxwingfall/machine/node_context.h
@@ -54,7 +54,7 @@
     worker_view worker;                       ///< used only if the worker sends heartbeats
     std::shared_ptr<const contract> in_force; ///< null until a document is enforced
     std::uint64_t version = 0;
-    
+
     call_counts counts;
     std::unique_ptr<message_link> link;
     bool leaving = false;
--- a/include/waxwingfall/machine/settings.h
+++ b/include/waxwingfall/machine/settings.h
@@ -53,7 +53,8 @@
     milliseconds drain{1000}; ///< after a worker's notice that it leaves, for which requests of nodes that
                               ///< have not heard of it still run; under the sites' bound of 2 s
     configuration_source source = configuration_source::environment_head;
-    std::uint32_t retry_slack = 90; ///< retries of all nodes in a budget window, beyond the share of requests
+    std::uint32_t retry_slack = 90; ///< repeated requests of all nodes in ten seconds, beyond their share
+    std::uint32_t retry_share_percent = 10; ///< of repeated requests in all; services may state less
     bool retry_budget = true; ///< off lets every failed try be repeated, the baseline of the measurements
     zone_policy zone;
     routing_policy routing;
--- a/lib/call/call_decisions.cpp
+++ b/lib/call/call_decisions.cpp
@@ -63,6 +63,11 @@
            refusal == error_kind::no_endpoint;
 }
 
+error_kind final_kind(error_kind last, bool may_have_run) {
+    const bool claims_too_much = may_have_run && answer_of(last).result == outcome::not_run;
+    return claims_too_much ? error_kind::worker_failed : last;
+}
+
 outcome outcome_of(error_kind kind, bool has_key, bool was_granted) {
     const outcome result = answer_of(kind).result;
     const bool proves_itself =
--- a/lib/call/placement.cpp
+++ b/lib/call/placement.cpp
@@ -19,8 +19,8 @@
 /// What a hop to another data centre costs: a round trip, and the bytes of a usual answer.
 constexpr double crossing_ms = 40;
 
-/// What a large answer costs on that hop: its bytes are worth more than the whole request, so it crosses only when
-/// its own data centre can't serve it.
+/// What a large answer costs on that hop: its bytes are worth more than the whole request, so it crosses only
+/// when its own data centre can't serve it.
 constexpr double large_crossing_ms = 2000;
 
 /// Share by which expected times are varied, so that nodes with the same news do not all pick the same
@@ -39,13 +39,21 @@
     return now < candidate.refused_until && priority >= candidate.refused_priority;
 }
 
+/// True if an endpoint has said lately how long its runs take. One that was slow once is tried again later,
+/// or nobody would learn that it is fast now.
+bool run_is_known(const routing_table& table, const endpoint& candidate, time_point now) {
+    return candidate.mean_run_ms > 0 && now - candidate.reported_at <= table.policy.run_lifetime;
+}
+
 /// Run time of an endpoint that has not said how long its runs take: that of the others of its service.
-double typical_run_ms(const std::map<member_id, endpoint>& group) {
+double typical_run_ms(const routing_table& table, const std::map<member_id, endpoint>& group,
+                      time_point now) {
     double sum = 0;
     double known = 0;
     for (const auto& [id, each] : group) {
-        sum += each.mean_run_ms;
-        known += each.mean_run_ms > 0 ? 1 : 0;
+        const bool counts = run_is_known(table, each, now);
+        sum += counts ? each.mean_run_ms : 0.0;
+        known += counts ? 1 : 0;
     }
     return known == 0 ? default_run_ms : sum / known;
 }
@@ -53,7 +61,7 @@
 /// Milliseconds until a call would be answered by an endpoint, with what its failures and its distance cost.
 double expected_finish_ms(const routing_table& table, const endpoint& candidate, double typical_run,
                           bool large_answer, time_point now) {
-    const double run = candidate.mean_run_ms > 0 ? candidate.mean_run_ms : typical_run;
+    const double run = run_is_known(table, candidate, now) ? candidate.mean_run_ms : typical_run;
     const double slots = std::max(1U, candidate.slots);
     const bool is_fresh = now - candidate.reported_at <= table.policy.load_lifetime;
     // Own calls that were started or ended since the report are known exactly.
@@ -77,7 +85,7 @@
     if (group == table.services.end()) {
         return std::nullopt;
     }
-    const double typical_run = typical_run_ms(group->second);
+    const double typical_run = typical_run_ms(table, group->second, now);
     std::optional<member_id> best;
     double least = std::numeric_limits<double>::max();
     for (const auto& [id, candidate] : group->second) {
--- a/lib/call/routing.cpp
+++ b/lib/call/routing.cpp
@@ -248,6 +248,13 @@
     return found == group->second.end() ? std::string() : found->second.address;
 }
 
+retry_budget share_of_slack(std::uint32_t slack, std::size_t nodes) {
+    constexpr double kept_back = 0.5;
+    const double share = kept_back * slack / static_cast<double>(std::max<std::size_t>(1, nodes));
+    const double limit = std::max(1.0, share);
+    return {limit, limit};
+}
+
 void earn_retry(retry_budget& budget, std::uint32_t percent) {
     constexpr double hundred = 100.0;
     budget.tokens = std::min(budget.limit, budget.tokens + percent / hundred);
--- a/lib/link/http.cpp
+++ b/lib/link/http.cpp
@@ -167,8 +167,10 @@
 
 bool is_closed_by_peer(evhttp_connection* connection) {
     char byte = 0;
-    return recv(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), &byte, 1,
-                MSG_PEEK | MSG_DONTWAIT) == 0;
+    const ssize_t got = recv(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+    const bool is_broken = got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+    return got == 0 || is_broken;
 }
 
 std::string_view method_name(evhttp_cmd_type method) {
--- a/lib/machine/settings.cpp
+++ b/lib/machine/settings.cpp
@@ -1,13 +1,18 @@
 #include "waxwingfall/machine/settings.h"
 
+#include <algorithm>
+
 #include <boost/leaf/error.hpp>
 
+#include "platform/bounds_wire.h"
 #include "waxwingfall/support/yaml_tree.h"
 
 namespace waxwingfall {
 
 namespace {
 
+/// Kept free before the process is killed, for the last answers to be written.
+constexpr milliseconds kill_margin{500};
 constexpr std::uint32_t max_slots = 10'000;
 constexpr std::uint32_t max_connections = 10'000;
 constexpr std::uint32_t max_retry_slack = 1'000'000;
@@ -134,6 +139,28 @@
                                                         : pick_rule::two_choices;
 }
 
+/// Limits of the node that follow from the bounds of its deployment, where the settings do not state them.
+void follow_bounds(yaml_reader& reader, const yaml_value& root, node_settings& settings) {
+    const std::string text = reader.text(root, "bounds", false);
+    const yaml_value* value = reader.child(root, "bounds", false);
+    const auto bounds = platform::decode_bounds(text);
+    if (!bounds) {
+        reader.report(error_kind::wrong_type, *value,
+                      "'bounds' must be a list such as drain=2s,retry_slack=56");
+        return;
+    }
+    // Half of the bound leaves time for requests that are under way between two nodes.
+    settings.drain = bounds->drain ? *bounds->drain / 2 : settings.drain;
+    if (bounds->grace) {
+        settings.leave_timeout = std::max(settings.leave_notice, *bounds->grace - kill_margin);
+    }
+    settings.retry_slack = bounds->retry_slack.value_or(settings.retry_slack);
+    if (bounds->retry_share) {
+        constexpr double percent = 100;
+        settings.retry_share_percent = static_cast<std::uint32_t>(*bounds->retry_share * percent);
+    }
+}
+
 void read_peers(yaml_reader& reader, const yaml_value& root, node_settings& settings) {
     for (const yaml_value& item : reader.texts(root, "peers")) {
         const auto address = parse_address(item.scalar);
@@ -162,9 +189,9 @@
 }
 
 void read_root(yaml_reader& reader, const yaml_value& root, node_settings& settings) {
-    if (!reader.expect_map(
-            root, "the settings",
-            {"node", "listen", "worker", "platform", "peers", "translate", "log", "limits", "policy"})) {
+    if (!reader.expect_map(root, "the settings",
+                           {"node", "listen", "worker", "platform", "peers", "translate", "log", "limits",
+                            "policy", "bounds"})) {
         return;
     }
     if (const yaml_value* node = reader.child(root, "node", true)) {
@@ -176,6 +203,7 @@
     if (const yaml_value* worker = reader.child(root, "worker", true)) {
         read_worker(reader, *worker, settings);
     }
+    follow_bounds(reader, root, settings);
     if (const yaml_value* limits = reader.child(root, "limits", false)) {
         read_limits(reader, *limits, settings);
     }
--- a/lib/machine/upstream.cpp
+++ b/lib/machine/upstream.cpp
@@ -206,7 +206,7 @@
                                                                           time_point now) {
     auto& connections = idle_[address];
     while (!connections.empty()) {
-        const std::shared_ptr<connection> last = connections.back();
+        std::shared_ptr<connection> last = connections.back();
         connections.pop_back();
         if (now - last->idle_since <= last->reuse_limit) {
             return last;
--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -292,6 +292,23 @@
     EXPECT_GT(seen.size(), 30U);
 }
 
+TEST(Outcomes, ARefusalAfterARunDoesNotClaimThatNothingRan) {
+    EXPECT_EQ(final_kind(error_kind::overloaded, false), error_kind::overloaded);
+    EXPECT_EQ(final_kind(error_kind::overloaded, true), error_kind::worker_failed);
+    EXPECT_EQ(final_kind(error_kind::worker_crashed, true), error_kind::worker_crashed);
+    for (const error_answer& row : error_table()) {
+        EXPECT_NE(answer_of(final_kind(row.kind, true)).result, outcome::not_run) << row.name;
+    }
+}
+
+TEST(Retries, AllNodesTogetherStayWithinTheSlack) {
+    for (const std::size_t nodes : {1U, 9U, 88U, 919U}) {
+        const retry_budget budget = share_of_slack(216, nodes);
+        EXPECT_LE(budget.limit, std::max(1.0, 108.0 / static_cast<double>(nodes)));
+        EXPECT_GE(budget.tokens, 1.0);
+    }
+}
+
 TEST(Retries, ACallInsideARetryIsNotTriedAgain) {
     const time_point later = start + milliseconds(1);
     EXPECT_TRUE(may_try_again({1, 3, false, later}, start));
