--- a/include/waxwingfall/call/routing.h
+++ b/include/waxwingfall/call/routing.h
@@ -27,7 +27,7 @@
     milliseconds load_lifetime{2000};         ///< after which a reported load is not believed
     milliseconds run_lifetime{3000}; ///< after which a reported run time is not believed; cold workers warm
                                      ///< up in as long
-    milliseconds refusal_pause{100};      ///< for which an endpoint that refused is passed over at most
+    milliseconds refusal_pause{100}; ///< for which an endpoint that refused is passed over at most
     milliseconds least_refusal_pause{10}; ///< about a round trip between data centres
     milliseconds first_cut{500};          ///< for which an endpoint that can't be reached is passed over;
                                           ///< doubles with each further time in a row
@@ -103,6 +103,9 @@
 void end_try(routing_table& table, const std::string& service, member_id id, try_result result,
              const endpoint_report& report, time_point now);
 
+/// The endpoint of a service, or null.
+const endpoint* find_endpoint(const routing_table& table, const std::string& service, member_id id);
+
 /// The address of an endpoint's node for calls, or an empty text.
 std::string endpoint_address(const routing_table& table, const std::string& service, member_id id);
 
--- a/include/waxwingfall/machine/call_proxy.h
+++ b/include/waxwingfall/machine/call_proxy.h
@@ -52,6 +52,10 @@
     void replay(std::uint64_t id, const ledger_record& record);
     void begin_answer(call& answered);
     struct retry_budget& budget_of(const std::string& service);
+    static std::string request_id(const call& of);
+    std::string endpoint_name(member_id id) const;
+    void log_placement(const call& placed, time_point now);
+    void log_answer(const call& answered);
     void log_failure(const call& failed, error_kind kind, outcome result);
     void settle(call& settled, std::uint32_t state);
     void remove(std::uint64_t id);
--- a/include/waxwingfall/machine/node.h
+++ b/include/waxwingfall/machine/node.h
@@ -18,13 +18,17 @@
 class node {
 public:
     /// Binds all addresses; throws if one can't be bound.
-    node(const event_loop& loop, const node_settings& settings, event_log& log, std::uint64_t seed,
+    node(const event_loop& loop, node_settings& settings, event_log& log, std::uint64_t seed,
          std::function<void()> on_stopped);
 
     /// Begins a graceful shutdown: the others are told, work in flight ends, the ledger's shards are handed
     /// over, and `on_stopped` is called.
     void leave();
 
+    /// Reads the settings file again, on a signal or because it changed, and applies what may change in a
+    /// running node. A file with faults changes nothing.
+    void reload(const std::string& path);
+
 private:
     void handle(const wire::frame& frame);
     void handle_call_frame(const wire::frame& frame, time_point now);
@@ -36,6 +40,7 @@
     void tick();
     void review_leaving(time_point now);
 
+    node_settings& settings_;
     node_context context_;
     std::function<void()> on_stopped_;
     call_proxy proxy_;
--- a/include/waxwingfall/machine/platform_agent.h
+++ b/include/waxwingfall/machine/platform_agent.h
@@ -28,6 +28,9 @@
     /// Notes that reports of the data centre's nodes have changed.
     void note_reports() { report_due_ = true; }
 
+    /// Uses the platform's address of the settings that hold now.
+    void follow_settings() { client_.address = node_.settings.platform; }
+
     bool is_reachable() const { return reachable_; }
 
 private:
--- a/include/waxwingfall/machine/worker_gate.h
+++ b/include/waxwingfall/machine/worker_gate.h
@@ -53,6 +53,8 @@
     void refuse(std::uint64_t id, error_kind kind);
     void fail(std::uint64_t id, error_kind kind);
     void remove(std::uint64_t id);
+    void log_admission(const request& admitted, admission_verdict verdict);
+    void log_end(const request& ended, upstream_end end);
     void sweep();
     void probe_worker();
     void note_probe(const http_answer& answer);
--- a/include/waxwingfall/support/event_log.h
+++ b/include/waxwingfall/support/event_log.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "waxwingfall/support/hybrid_clock.h"
+#include "waxwingfall/support/log_budget.h"
 
 namespace waxwingfall {
 
@@ -17,6 +18,9 @@
     node_leaving = 101,
     node_stopped = 102,
     process_paused = 103,
+    lines_suppressed = 104,
+    settings_reloaded = 105,
+    settings_refused = 106,
     member_joined = 200,
     member_suspected = 201,
     member_left = 202,
@@ -41,6 +45,10 @@
     worker_report_ignored = 504,
     call_failed = 600,
     request_refused = 601,
+    call_placed = 602,
+    call_answered = 603,
+    request_admitted = 604,
+    request_ended = 605,
 };
 
 /// One row of the catalogue.
@@ -48,6 +56,7 @@
     event_id id;
     std::string_view name;
     std::string_view level; ///< "info", "warn" or "error"
+    line_rate rate{};       ///< how many lines of it are written; 0 for all
 };
 
 /// The whole catalogue in the order of numbers.
@@ -62,6 +71,8 @@
 
 /// Writes events as one JSON object a line: {"time":MS,"clock":N,"process":"...","event":N,"name":"...",
 /// "level":"...", then the fields as texts}. Lines go to standard output, or to `path` if it is not empty.
+/// Kinds that come with each request are bounded in number; what is left out, there or because standard
+/// output takes no more, is counted and said.
 class event_log {
 public:
     event_log(std::string process, const std::string& path);
@@ -74,7 +85,10 @@
 
 private:
     std::string process_;
+    void write_line(const event_row& row, wall_ms now, const std::vector<event_field>& fields);
+
     hybrid_clock clock_;
+    log_budget budget_;
 };
 
 /// The line that `event_log` writes.
--- a/lib/call/routing.cpp
+++ b/lib/call/routing.cpp
@@ -6,13 +6,8 @@
 
 namespace {
 
-endpoint* find_endpoint(routing_table& table, const std::string& service, member_id id) {
-    const auto group = table.services.find(service);
-    if (group == table.services.end()) {
-        return nullptr;
-    }
-    const auto found = group->second.find(id);
-    return found == group->second.end() ? nullptr : &found->second;
+endpoint* changeable_endpoint(routing_table& table, const std::string& service, member_id id) {
+    return const_cast<endpoint*>(find_endpoint(table, service, id));
 }
 
 /// Weight of the latest try in an endpoint's share of failures.
@@ -189,14 +184,14 @@
 }
 
 void begin_try(routing_table& table, const std::string& service, member_id id) {
-    if (endpoint* used = find_endpoint(table, service, id)) {
+    if (endpoint* used = changeable_endpoint(table, service, id)) {
         used->in_flight += 1;
     }
 }
 
 void end_try(routing_table& table, const std::string& service, member_id id, try_result result,
              const endpoint_report& report, time_point now) {
-    endpoint* used = find_endpoint(table, service, id);
+    endpoint* used = changeable_endpoint(table, service, id);
     if (used == nullptr) {
         return;
     }
@@ -239,13 +234,18 @@
     }
 }
 
-std::string endpoint_address(const routing_table& table, const std::string& service, member_id id) {
+const endpoint* find_endpoint(const routing_table& table, const std::string& service, member_id id) {
     const auto group = table.services.find(service);
     if (group == table.services.end()) {
-        return {};
+        return nullptr;
     }
     const auto found = group->second.find(id);
-    return found == group->second.end() ? std::string() : found->second.address;
+    return found == group->second.end() ? nullptr : &found->second;
+}
+
+std::string endpoint_address(const routing_table& table, const std::string& service, member_id id) {
+    const endpoint* found = find_endpoint(table, service, id);
+    return found == nullptr ? std::string() : found->address;
 }
 
 retry_budget share_of_slack(std::uint32_t slack, std::size_t nodes) {
--- a/lib/machine/node.cpp
+++ b/lib/machine/node.cpp
@@ -2,8 +2,12 @@
 
 #include <cassert>
 
+#include <boost/leaf/handle_errors.hpp>
+
 #include "waxwingfall/contract/snapshot.h"
+#include "waxwingfall/machine/reload.h"
 #include "waxwingfall/support/digest.h"
+#include "waxwingfall/support/yaml_tree.h"
 
 namespace waxwingfall {
 
@@ -14,6 +18,14 @@
 constexpr milliseconds housekeeping_period{5000};
 constexpr milliseconds idle_peer_limit{60'000};
 
+std::string joined(const std::vector<std::string>& names) {
+    std::string text;
+    for (const std::string& name : names) {
+        text += (text.empty() ? "" : ",") + name;
+    }
+    return text;
+}
+
 event_id event_of(const member_change& change) {
     switch (change.now.state) {
     case member_state::suspect:
@@ -30,10 +42,11 @@
 
 } // namespace
 
-node::node(const event_loop& loop, const node_settings& settings, event_log& log, std::uint64_t seed,
+node::node(const event_loop& loop, node_settings& settings, event_log& log, std::uint64_t seed,
            std::function<void()> on_stopped)
-    : context_(loop, settings, log, seed), on_stopped_(std::move(on_stopped)), proxy_(context_),
-      gate_(context_), platform_(context_, [this](zone_effects effects) { apply(std::move(effects)); }),
+    : settings_(settings), context_(loop, settings, log, seed), on_stopped_(std::move(on_stopped)),
+      proxy_(context_), gate_(context_),
+      platform_(context_, [this](zone_effects effects) { apply(std::move(effects)); }),
       admin_(context_,
              {[this] { return proxy_.open_calls(); }, [this] { return gate_.open_requests(); },
               [this] { return platform_.is_reachable(); }, [this] { return gate_.worker_is_healthy(); }}),
@@ -202,6 +215,30 @@
     }
 }
 
+void node::reload(const std::string& path) {
+    const auto refuse = [&](const std::string& faults) {
+        context_.log.write(event_id::settings_refused, wall_now(), {{"faults", faults}});
+    };
+    const auto text = read_bounded_file(path);
+    if (!text) {
+        refuse("the file can't be read");
+        return;
+    }
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(fresh, parse_settings(*text, path));
+            const reload_plan plan = plan_reload(settings_, fresh);
+            settings_ = plan.merged;
+            platform_.follow_settings();
+            context_.log.write(
+                event_id::settings_reloaded, wall_now(),
+                {{"changed", joined(plan.applied)}, {"at_next_start", joined(plan.wait_for_start)}});
+            return {};
+        },
+        [&](const fault_list& list) { refuse(to_string(list.faults.front())); },
+        [&] { refuse("unknown fault"); });
+}
+
 void node::leave() {
     if (context_.leaving) {
         return;
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -131,6 +131,9 @@
     if (!admission_.displaced.empty()) {
         apply(review_queue(admission_, now));
     }
+    if (verdict == admission_verdict::run || verdict == admission_verdict::wait) {
+        log_admission(*requests_.at(id), verdict);
+    }
     switch (verdict) {
     case admission_verdict::run:
         run(id);
@@ -212,8 +215,30 @@
     }
 }
 
+void worker_gate::log_admission(const request& admitted, admission_verdict verdict) {
+    node_.log.write(
+        event_id::request_admitted, wall_now(),
+        {{"request", header_value(admitted.received.request.headers, platform::header::attempt_id)},
+         {"worker", node_.worker.worker_id},
+         {"verdict", verdict == admission_verdict::run ? "run" : "wait"},
+         {"running", std::to_string(admission_.running)},
+         {"waiting", std::to_string(admission_.waiting.size())}});
+}
+
+void worker_gate::log_end(const request& ended, upstream_end end) {
+    const std::string_view how = end == upstream_end::complete        ? "complete"
+                                 : end == upstream_end::not_connected ? "not-connected"
+                                                                      : "lost";
+    node_.log.write(event_id::request_ended, wall_now(),
+                    {{"request", header_value(ended.received.request.headers, platform::header::attempt_id)},
+                     {"worker", node_.worker.worker_id},
+                     {"end", std::string(how)},
+                     {"ran_ms", std::to_string(elapsed_ms(ended.started, monotonic_now()))}});
+}
+
 void worker_gate::on_end(std::uint64_t id, upstream_end end) {
     request& ended = *requests_.at(id);
+    log_end(ended, end);
     if (end == upstream_end::complete) {
         failed_probes_ = 0;
         if (!ended.caller->has_begun()) {
--- a/lib/support/event_log.cpp
+++ b/lib/support/event_log.cpp
@@ -4,8 +4,12 @@
 #include <array>
 #include <cassert>
 
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
+
 #include <log4cxx/appenderskeleton.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
@@ -17,11 +21,19 @@
 
 using enum event_id;
 
+/// Lines of each kind that come with every request. A node of the deployments takes some 30 requests a
+/// second, and twice that in bursts; failures have more room, so that they are not the first to be left out.
+constexpr line_rate request_rate{60, 120};
+constexpr line_rate failure_rate{120, 600};
+
 constexpr std::array catalogue{
     event_row{node_started, "node-started", "info"},
     event_row{node_leaving, "node-leaving", "info"},
     event_row{node_stopped, "node-stopped", "info"},
     event_row{process_paused, "process-paused", "warn"},
+    event_row{lines_suppressed, "lines-suppressed", "warn"},
+    event_row{settings_reloaded, "settings-reloaded", "info"},
+    event_row{settings_refused, "settings-refused", "error"},
     event_row{member_joined, "member-joined", "info"},
     event_row{member_suspected, "member-suspected", "warn"},
     event_row{member_left, "member-left", "info"},
@@ -44,8 +56,40 @@
     event_row{worker_health_changed, "worker-health-changed", "info"},
     event_row{worker_reported, "worker-reported", "info"},
     event_row{worker_report_ignored, "worker-report-ignored", "warn"},
-    event_row{call_failed, "call-failed", "warn"},
-    event_row{request_refused, "request-refused", "info"},
+    event_row{call_failed, "call-failed", "warn", failure_rate},
+    event_row{request_refused, "request-refused", "info", failure_rate},
+    event_row{call_placed, "call-placed", "info", request_rate},
+    event_row{call_answered, "call-answered", "info", request_rate},
+    event_row{request_admitted, "request-admitted", "info", request_rate},
+    event_row{request_ended, "request-ended", "info", request_rate},
+};
+
+/// Lines that standard output did not take since this was last said. The appender is owned by the logging
+/// library, which has one of them for the process.
+std::uint64_t lost_lines = 0;
+
+std::uint64_t take_lost_lines() {
+    return std::exchange(lost_lines, 0);
+}
+
+/// Writes lines to standard output without ever waiting for its reader.
+class output_appender : public log4cxx::AppenderSkeleton {
+public:
+    const log4cxx::helpers::Class& getClass() const override { return getStaticClass(); }
+    void close() override {}
+    bool requiresLayout() const override { return false; }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& /*pool*/) override {
+        const std::string line = event->getRenderedMessage() + "\n";
+        // A pipe that is ready takes at least PIPE_BUF bytes at once.
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        const bool takes =
+            line.size() <= PIPE_BUF && poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        if (!takes || ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+            ++lost_lines;
+        }
+    }
 };
 
 const event_row& row_of(event_id id) {
@@ -88,11 +132,7 @@
     root->removeAllAppenders();
     const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
     if (path.empty()) {
-        const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout);
-        console->setTarget("System.out");
-        log4cxx::helpers::Pool pool;
-        console->activateOptions(pool);
-        root->addAppender(console);
+        root->addAppender(std::make_shared<output_appender>());
     } else {
         root->addAppender(std::make_shared<log4cxx::FileAppender>(layout, path, true));
     }
@@ -100,6 +140,22 @@
 
 void event_log::write(event_id id, wall_ms now, const std::vector<event_field>& fields) {
     const event_row& row = row_of(id);
+    const time_point at = std::chrono::steady_clock::now();
+    if (row.rate.burst > 0 && !take_line(budget_, static_cast<std::uint16_t>(id), row.rate, at)) {
+        return;
+    }
+    write_line(row, now, fields);
+    for (const suppressed_lines& left_out : take_suppressed(budget_, at)) {
+        write_line(row_of(lines_suppressed), now,
+                   {{"of", std::string(row_of(static_cast<event_id>(left_out.kind)).name)},
+                    {"count", std::to_string(left_out.count)}});
+    }
+    if (const std::uint64_t lost = take_lost_lines(); lost > 0) {
+        write_line(row_of(lines_suppressed), now, {{"of", "all"}, {"count", std::to_string(lost)}});
+    }
+}
+
+void event_log::write_line(const event_row& row, wall_ms now, const std::vector<event_field>& fields) {
     const std::string line = format_event(row, process_, now, tick_clock(clock_, now), fields);
     log4cxx::Logger::getRootLogger()->log(level_of(row), line);
 }
--- a/tools/waxwingfall/main.cpp
+++ b/tools/waxwingfall/main.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <filesystem>
 #include <iostream>
 #include <random>
 #include <vector>
@@ -24,13 +25,30 @@
 
 using namespace waxwingfall;
 
-int run_node(const node_settings& settings) {
+/// How often the settings file is looked at: it may change without a signal.
+constexpr milliseconds settings_look_period{1000};
+
+std::filesystem::file_time_type changed_at(const std::string& path) {
+    std::error_code ignored; // A file that is away for a moment has not changed.
+    return std::filesystem::last_write_time(path, ignored);
+}
+
+int run_node(node_settings settings, const std::string& path) {
     event_log log(settings.name, settings.log_path);
     event_loop loop;
     try {
         node running(loop, settings, log, std::random_device()(), [&] { loop.stop(); });
         const auto on_term = loop_event::on_signal(loop, SIGTERM, [&] { running.leave(); });
         const auto on_int = loop_event::on_signal(loop, SIGINT, [&] { running.leave(); });
+        const auto on_hup = loop_event::on_signal(loop, SIGHUP, [&] { running.reload(path); });
+        auto seen = changed_at(path);
+        const auto on_look = loop_event::every(loop, settings_look_period, [&] {
+            const auto latest = changed_at(path);
+            if (latest != seen) {
+                seen = latest;
+                running.reload(path);
+            }
+        });
         loop.run();
     } catch (const std::exception& error) {
         std::cerr << "waxwingfall: " << answer_of(error_kind::address_in_use).name << ": " << error.what()
@@ -50,7 +68,7 @@
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<int> {
             BOOST_LEAF_AUTO(settings, parse_settings(*text, path));
-            return check_only ? 0 : run_node(settings);
+            return check_only ? 0 : run_node(settings, path);
         },
         [](const fault_list& list) {
             for (const fault& found : list.faults) {
