--- a/include/waxwingfall/operator/commands.h
+++ b/include/waxwingfall/operator/commands.h
@@ -70,6 +70,12 @@
 /// Prints the events of several processes' logs as one time line, in the order of their hybrid clocks.
 boost::leaf::result<void> run_timeline(const std::vector<std::string>& paths, bool json, std::ostream& out);
 
+/// Prints what the processes' logs say of one request: the decisions about it and about the calls that its
+/// run made, and, between the first and the last of them, whatever changed the beliefs of the processes that
+/// decided. Fails if no log names the request.
+boost::leaf::result<void> run_trace(const std::string& request, const std::vector<std::string>& paths,
+                                    bool json, std::ostream& out);
+
 } // namespace waxwingfall
 
 #endif
--- a/lib/contract/document.cpp
+++ b/lib/contract/document.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t default_max_attempts = 2;
 constexpr std::uint32_t default_retry_budget_percent = 10;
 constexpr std::uint32_t default_queue = 24;
+constexpr std::uint32_t max_priority = 100;
+constexpr std::uint32_t max_weight = 1'000'000;
 
 struct placed_contract {
     contract content;
@@ -40,7 +42,9 @@
     service_contract service;
     service.name = entry.key;
     const yaml_value& body = entry.value;
-    if (!reader.expect_map(body, "a service", {"timeout_ms", "retries", "limits", "depends_on"})) {
+    if (!reader.expect_map(
+            body, "a service",
+            {"timeout_ms", "retries", "limits", "depends_on", "health_path", "max_connections"})) {
         return service;
     }
     service.timeout_ms =
@@ -60,18 +64,58 @@
         service.in_flight = reader.number(*limits, "in_flight", 0, max_in_flight, 0);
         service.queue = reader.number(*limits, "queue", 0, max_queue, default_queue);
     }
+    service.health_path = reader.text(body, "health_path", false, service.health_path);
+    service.max_connections = reader.number(body, "max_connections", 0, max_in_flight, 0);
     service.depends_on = sorted_texts(reader, body, "depends_on");
     return service;
 }
 
+request_kind read_kind(yaml_reader& reader, const yaml_value& body) {
+    const std::string word = reader.text(body, "kind", false, kind_name(request_kind::by_method));
+    for (const request_kind kind : {request_kind::by_method, request_kind::idempotent,
+                                    request_kind::non_idempotent, request_kind::download}) {
+        if (word == kind_name(kind)) {
+            return kind;
+        }
+    }
+    reader.report(error_kind::out_of_range, *reader.child(body, "kind", false),
+                  "'kind' must be by_method, idempotent, non_idempotent or download");
+    return request_kind::by_method;
+}
+
+/// The services of a route that share its requests, from a map of names to weights.
+std::vector<weighted_service> read_split(yaml_reader& reader, const yaml_value& body) {
+    std::vector<weighted_service> split;
+    const yaml_value* parts = reader.child(body, "split", false);
+    if (parts == nullptr) {
+        return split;
+    }
+    if (parts->kind != yaml_value::shape::map) {
+        reader.report(error_kind::wrong_type, *parts, "'split' must be a map from services to weights");
+        return split;
+    }
+    for (const yaml_entry& part : parts->entries) {
+        split.push_back({part.key, reader.number(*parts, part.key, 0, max_weight, std::nullopt)});
+    }
+    std::sort(split.begin(), split.end());
+    return split;
+}
+
 route_contract read_route(yaml_reader& reader, const yaml_value& body) {
     route_contract route;
-    if (!reader.expect_map(body, "a route", {"host", "prefix", "service", "timeout_ms", "non_idempotent"})) {
+    if (!reader.expect_map(body, "a route",
+                           {"host", "prefix", "service", "timeout_ms", "non_idempotent", "kind",
+                            "max_attempts", "goal_ms", "priority", "split"})) {
         return route;
     }
     route.host = reader.text(body, "host", true);
     route.prefix = reader.text(body, "prefix", true);
-    route.service = reader.text(body, "service", true);
+    route.split = read_split(reader, body);
+    route.service = reader.text(body, "service", route.split.empty());
+    route.kind = read_kind(reader, body);
+    route.max_attempts = reader.number(body, "max_attempts", 0, max_route_attempts, 0);
+    route.goal_ms = reader.number(body, "goal_ms", 0, max_timeout_ms, 0);
+    route.priority = reader.number(body, "priority", 0, max_priority, 0);
     route.timeout_ms = reader.number(body, "timeout_ms", min_timeout_ms, max_timeout_ms, 0);
     const yaml_value* marked = reader.child(body, "non_idempotent", false);
     if (marked != nullptr && marked->kind == yaml_value::shape::scalar) {
--- a/lib/operator/commands.cpp
+++ b/lib/operator/commands.cpp
@@ -128,49 +128,6 @@
            });
 }
 
-struct timed_line {
-    std::uint64_t clock = 0;
-    std::string text;
-    json event;
-};
-
-/// Reads one log; lines that are not events are left out, since a killed process may leave half a line.
-boost::leaf::result<void> read_log(const std::string& path, std::vector<timed_line>& lines) {
-    std::FILE* file = std::fopen(path.c_str(), "r");
-    if (file == nullptr) {
-        return boost::leaf::new_error(command_error{error_kind::file_unreadable, path + " can't be read"});
-    }
-    std::string line;
-    for (int letter = std::fgetc(file); letter != EOF; letter = std::fgetc(file)) {
-        if (letter != '\n') {
-            line += static_cast<char>(letter);
-            continue;
-        }
-        json event = json::parse(line, nullptr, false);
-        if (event.is_object() && event.contains("clock") && event["clock"].is_number_unsigned()) {
-            lines.push_back({event["clock"].get<std::uint64_t>(), line, std::move(event)});
-        }
-        line.clear();
-    }
-    std::fclose(file);
-    return {};
-}
-
-std::string readable_event(const json& event, std::uint64_t first_time) {
-    const auto time = event.value("time", std::uint64_t{0});
-    std::string text = "+" + std::to_string(time - std::min(time, first_time)) + " ms  " +
-                       event.value("process", std::string("?")) + "  " +
-                       event.value("name", std::string("?"));
-    for (const auto& [key, value] : event.items()) {
-        const bool is_common = key == "time" || key == "clock" || key == "process" || key == "event" ||
-                               key == "name" || key == "level";
-        if (!is_common) {
-            text += "  " + key + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
-        }
-    }
-    return text;
-}
-
 } // namespace
 
 boost::leaf::result<void> run_check(const std::string& path, bool as_json_text, std::ostream& out) {
@@ -327,20 +284,4 @@
     return {};
 }
 
-boost::leaf::result<void> run_timeline(const std::vector<std::string>& paths, bool as_json_text,
-                                       std::ostream& out) {
-    std::vector<timed_line> lines;
-    for (const std::string& path : paths) {
-        BOOST_LEAF_CHECK(read_log(path, lines));
-    }
-    std::stable_sort(lines.begin(), lines.end(), [](const timed_line& left, const timed_line& right) {
-        return left.clock < right.clock;
-    });
-    const std::uint64_t first = lines.empty() ? 0 : lines.front().event.value("time", std::uint64_t{0});
-    for (const timed_line& line : lines) {
-        out << (as_json_text ? line.text : readable_event(line.event, first)) << "\n";
-    }
-    return {};
-}
-
 } // namespace waxwingfall
--- a/tools/waxwingctl/main.cpp
+++ b/tools/waxwingctl/main.cpp
@@ -23,6 +23,7 @@
   waxwingctl wait --environment E --version N [--timeout S] [options]
   waxwingctl history --environment E [options]
   waxwingctl timeline FILE... [options]
+  waxwingctl trace REQUEST FILE... [options]
   waxwingctl --help
 
 Options:
@@ -112,6 +113,9 @@
     if (given.at("timeline").asBool()) {
         return run_timeline(given.at("FILE").asStringList(), options.json, std::cout);
     }
+    if (given.at("trace").asBool()) {
+        return run_trace(text_of(given, "REQUEST"), given.at("FILE").asStringList(), options.json, std::cout);
+    }
     read_platform(given, options);
     const std::string environment = text_of(given, "--environment");
     if (given.at("plan").asBool()) {
--- a/unittests/contract/document_test.cpp
+++ b/unittests/contract/document_test.cpp
@@ -77,6 +77,46 @@
     EXPECT_EQ(parsed(good).routes.size(), 1U);
 }
 
+TEST(Document, ReadsKindsAndSplits) {
+    const std::string text =
+        "services: {a: {health_path: /ok, max_connections: 9}, b: {}}\n"
+        "routes:\n"
+        "  - {host: h, prefix: /p, split: {b: 10, a: 90}, kind: download, max_attempts: 3,\n"
+        "     goal_ms: 600, priority: 2}\n";
+    const auto read = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<contract> { return parse_contract(text, "f"); },
+        [](const fault_list& list) {
+            ADD_FAILURE() << to_string(list.faults.front());
+            return contract();
+        },
+        [] { return contract(); });
+    ASSERT_EQ(read.routes.size(), 1U);
+    const route_contract& route = read.routes.front();
+    EXPECT_EQ(route.kind, request_kind::download);
+    EXPECT_EQ(route.split, (std::vector<weighted_service>{{"a", 90}, {"b", 10}}));
+    EXPECT_EQ(route.max_attempts, 3U);
+    EXPECT_EQ(route.goal_ms, 600U);
+    EXPECT_EQ(route.priority, 2U);
+    EXPECT_EQ(read.services.front().health_path, "/ok");
+    EXPECT_EQ(decode_contract(encode_contract(read)), read);
+}
+
+TEST(Document, RefusesWrongKindsAndSplits) {
+    for (const char* route :
+         {"{host: h, prefix: /, service: a, kind: sometimes}", "{host: h, prefix: /, split: {c: 1}}",
+          "{host: h, prefix: /, service: a, split: {a: 1}}", "{host: h, prefix: /, split: {a: 0}}",
+          "{host: h, prefix: /, split: [a]}", "{host: h, prefix: /}"}) {
+        const std::string text = "services: {a: {}}\nroutes:\n  - " + std::string(route) + "\n";
+        const bool is_accepted = boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool> {
+                BOOST_LEAF_AUTO(read, parse_contract(text, "f"));
+                return !read.services.empty();
+            },
+            [](const fault_list&) { return false; }, [] { return false; });
+        EXPECT_FALSE(is_accepted) << route;
+    }
+}
+
 TEST(Document, ReportsEachFaultAtItsPlace) {
     EXPECT_TRUE(has_fault("services:\n  a: {x: 1}\nroutes: []\n", error_kind::unknown_key, 2, 7));
     EXPECT_TRUE(has_fault("services:\n  a: {}\n  a: {}\nroutes: []\n", error_kind::duplicate_key, 3, 3));
