A worker's own word of its service; what a node acknowledged survives its restart

Ruled out: a stale configuration (one version all the time), a wrong target id (the worker accepted it). Change: the member record carries the reported service; a request names the service that it is placed at, and a gate of another refuses it; services that no configuration names are not used; an endpoint leaves its old service's group. Member records also carry the last worker that left, so that a node that starts again does not take up what its last process acknowledged.

--- a/include/waxwingfall/call/placement.h
+++ b/include/waxwingfall/call/placement.h
@@ -26,6 +26,10 @@
 std::optional<member_id> place_call(const routing_table& table, const placement_question& question,
                                     time_point now, random_source& random);
 
+/// True if the other endpoints of a service fail few of their calls, so that a call which failed at this one
+/// is worth another try. Where all fail alike the cause lies behind them, and a second run only adds to it.
+bool others_do_better(const routing_table& table, const std::string& service, member_id failed);
+
 } // namespace waxwingfall
 
 #endif
--- a/include/waxwingfall/call/worker_view.h
+++ b/include/waxwingfall/call/worker_view.h
@@ -13,12 +13,14 @@
 
 /// What the node beside a worker knows of it, from its heartbeats and from what its connections showed.
 struct worker_view {
-    std::string address;                 ///< of the worker; reports of others are not taken
-    std::string worker_id;               ///< empty until the worker has said who it is
-    std::optional<worker_report> newest; ///< nothing if only a health check has named the worker
-    std::set<std::string> former_ids;    ///< of workers that were replaced at this address
-    bool reachable = false;              ///< false after a refused connection, until it is heard of again
-    bool leaving = false;                ///< it said that it drains or leaves
+    std::string address;   ///< of the worker; reports of others are not taken
+    std::string worker_id; ///< empty until the worker has said who it is
+    std::optional<worker_report> newest;
+    std::string left_id; ///< of the last worker that left, as the node's last process told the others
+    std::uint64_t left_start = 0;     ///< its incarnation; 0 if it is not known
+    std::set<std::string> former_ids; ///< of workers that were replaced at this address
+    bool reachable = false;           ///< false after a refused connection, until it is heard of again
+    bool leaving = false;             ///< it said that it drains or leaves
     time_point leaving_since;
     time_point last_heard;
 };
@@ -33,9 +35,9 @@
 /// Takes in a report. Those of an earlier incarnation, or late ones of this one, change nothing.
 report_verdict take_report(worker_view& view, const worker_report& report, time_point now);
 
-/// Takes in the answer of a health check that this node sent when it knew no worker: `healthy` is false while
-/// the worker drains. A worker that has reported is not changed by it.
-void take_health(worker_view& view, const std::string& worker_id, bool healthy, time_point now);
+/// Takes over what the node's last process acknowledged: a worker that left is not used again, however late
+/// its heartbeats come.
+void remember_leave(worker_view& view, const std::string& worker_id, std::uint64_t incarnation);
 
 /// Notes that nothing listens at the worker's address.
 void note_unreachable(worker_view& view);
--- a/include/waxwingfall/machine/call_headers.h
+++ b/include/waxwingfall/machine/call_headers.h
@@ -24,6 +24,7 @@
 inline constexpr const char* load = "X-Waxwingfall-Load"; ///< between nodes: running and waiting requests
 inline constexpr const char* mean_run_ms =
     "X-Waxwingfall-Mean-Run-Ms"; ///< between nodes: how long the worker's runs take
+inline constexpr const char* service = "X-Waxwingfall-Service"; ///< between nodes: that the call is placed at
 inline constexpr const char* priority = "X-Waxwingfall-Priority"; ///< between nodes: that of the route
 inline constexpr const char* goal_ms =
     "X-Waxwingfall-Goal-Ms"; ///< between nodes: what is left of the latency objective
--- a/include/waxwingfall/machine/worker_gate.h
+++ b/include/waxwingfall/machine/worker_gate.h
@@ -35,10 +35,6 @@
     /// Takes in a heartbeat or a leave of the worker.
     report_verdict take_report(const worker_report& report);
 
-    /// Asks the worker who it is, once, so that a node that starts beside a running worker need not wait for
-    /// its next heartbeat. Does nothing if the worker sends none or has reported.
-    void identify_worker();
-
     double load() const { return load_of(admission_); }
     bool worker_is_healthy() const { return healthy_; }
 
@@ -75,7 +71,6 @@
     std::map<std::uint64_t, std::unique_ptr<request>> requests_;
     std::uint64_t next_id_ = 1;
     bool healthy_ = true;
-    bool asked_worker_ = false;
     std::uint32_t failed_probes_ = 0;
     crash_watch crashes_;
     std::map<std::uint64_t, std::string> broken_fingerprints_; ///< of the requests in `crashes_`
--- a/include/waxwingfall/zone/member.h
+++ b/include/waxwingfall/zone/member.h
@@ -35,6 +35,9 @@
     std::uint32_t slots = 0;     ///< requests that the worker runs at once; 0 while it takes none
     std::uint64_t incarnation = 0;
     member_state state = member_state::alive;
+    std::string left_worker; ///< id of the last worker that said it leaves; a node that starts again learns
+                             ///< from others what it acknowledged
+    std::uint64_t left_worker_start = 0; ///< incarnation of that worker; 0 if it is not known
     auto operator<=>(const member&) const = default;
 };
 
--- a/include/waxwingfall/zone/membership.h
+++ b/include/waxwingfall/zone/membership.h
@@ -62,6 +62,7 @@
 struct membership {
     membership_policy policy;
     member self;
+    std::optional<member> former_self;   ///< what the others knew of this node's last process
     std::map<member_id, member> members; ///< `self` included
     std::map<member_id, time_point> state_since;
     std::uint64_t table_hash = 0; ///< over all members that are not dead
--- a/lib/call/placement.cpp
+++ b/lib/call/placement.cpp
@@ -16,6 +16,9 @@
 /// What a failed try costs: as long as the latency objective of most routes.
 constexpr double failure_cost_ms = 800;
 
+/// Mean share of failures among the other endpoints from which a failure is laid on what all of them need.
+constexpr double common_cause_share = 0.15;
+
 /// What a hop to another data centre costs: a round trip, and the bytes of a usual answer.
 constexpr double crossing_ms = 40;
 
@@ -79,6 +82,20 @@
 
 } // namespace
 
+bool others_do_better(const routing_table& table, const std::string& service, member_id failed) {
+    const auto group = table.services.find(service);
+    if (group == table.services.end()) {
+        return false;
+    }
+    double sum = 0;
+    double others = 0;
+    for (const auto& [id, candidate] : group->second) {
+        sum += id == failed ? 0.0 : candidate.failure_share;
+        others += id == failed ? 0 : 1;
+    }
+    return others > 0 && sum / others < common_cause_share;
+}
+
 std::optional<member_id> place_call(const routing_table& table, const placement_question& question,
                                     time_point now, random_source& random) {
     const auto group = table.services.find(question.service);
--- a/lib/call/routing.cpp
+++ b/lib/call/routing.cpp
@@ -145,6 +145,12 @@
         }
         return;
     }
+    for (auto& [service, others] : table.services) {
+        // The address of a worker may go to a worker of another service.
+        if (service != now_known.service) {
+            others.erase(now_known.id);
+        }
+    }
     auto& group = table.services[now_known.service];
     const auto known = group.find(now_known.id);
     if (known != group.end() && known->second.address == now_known.inbound_address) {
--- a/lib/call/worker_view.cpp
+++ b/lib/call/worker_view.cpp
@@ -15,6 +15,11 @@
 }
 
 bool is_outdated(const worker_view& view, const worker_report& report, time_point now) {
+    const bool has_left =
+        report.worker_id == view.left_id && (view.left_start == 0 || report.incarnation <= view.left_start);
+    if (has_left) {
+        return true;
+    }
     if (!view.newest) {
         return view.former_ids.contains(report.worker_id);
     }
@@ -31,8 +36,8 @@
         return view.former_ids.contains(report.worker_id);
     }
     // A leave carries no sequence; it is the last word of its incarnation.
-    const bool has_left = known.state == worker_state::left;
-    return has_left || (report.state != worker_state::left && report.sequence <= known.sequence);
+    const bool is_last_word = known.state == worker_state::left;
+    return is_last_word || (report.state != worker_state::left && report.sequence <= known.sequence);
 }
 
 bool is_same_worker(const worker_view& view, const worker_report& report) {
@@ -76,15 +81,12 @@
     return report_verdict::taken;
 }
 
-void take_health(worker_view& view, const std::string& worker_id, bool healthy, time_point now) {
-    if (view.newest || worker_id.empty()) {
-        return;
-    }
-    view.worker_id = worker_id;
-    view.reachable = true;
-    view.last_heard = now;
-    view.leaving = !healthy;
-    view.leaving_since = now;
+void remember_leave(worker_view& view, const std::string& worker_id, std::uint64_t incarnation) {
+    view.left_id = worker_id;
+    view.left_start = incarnation;
+    const bool is_current = view.newest && view.newest->worker_id == worker_id &&
+                            (incarnation == 0 || view.newest->incarnation <= incarnation);
+    view.leaving = view.leaving || is_current;
 }
 
 void note_unreachable(worker_view& view) {
--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -61,10 +61,11 @@
     bool non_idempotent = false;
     bool inside_retry = false;
     std::uint32_t max_attempts = 1;
-    std::size_t reached = 0;   ///< tries that may have reached a worker
-    bool may_have_run = false; ///< at one of them
-    bool held_back = false;    ///< the worker failed the request, and another may do better
-    bool begun = false;        ///< the answer is on its way to the caller
+    std::size_t reached = 0;    ///< tries that may have reached a worker
+    bool may_have_run = false;  ///< at one of them
+    bool worker_failed = false; ///< by its own answer
+    bool held_back = false;     ///< the worker failed the request, and another may do better
+    bool begun = false;         ///< the answer is on its way to the caller
     std::vector<http_header> answer_headers;
     std::string held_body; ///< of an answer that is not on its way yet
     time_point received_at;
@@ -264,6 +265,7 @@
     tried.refused = false;
     tried.crashed = false;
     tried.held_back = false;
+    tried.worker_failed = false;
     tried.trying = true;
     tried.report = {};
     const bool is_retry = !tried.tried.empty();
@@ -276,6 +278,7 @@
     const auto left = std::max<std::int64_t>(1, elapsed_ms(now, tried.deadline));
     set_header(sent.headers, call_header::deadline_ms, std::to_string(left));
     set_header(sent.headers, platform::header::caller_service, node_.settings.service);
+    set_header(sent.headers, call_header::service, service);
     set_header(sent.headers, call_header::priority, std::to_string(tried.route->priority));
     if (tried.route->goal_ms != 0) {
         const auto goal_left = elapsed_ms(now, tried.received_at + milliseconds(tried.route->goal_ms));
@@ -325,9 +328,10 @@
         answered.status = 0;
         return;
     }
-    const bool is_failure = status >= first_server_error && status != status_worker_deadline;
-    if (is_failure && !answered.non_idempotent &&
-        may_retry(answered, answered.reached + 1, monotonic_now())) {
+    answered.worker_failed = status >= first_server_error && status != status_worker_deadline;
+    const bool is_worth_it = answered.worker_failed && !answered.non_idempotent &&
+                             others_do_better(node_.routing, answered.service->name, answered.endpoint);
+    if (is_worth_it && may_retry(answered, answered.reached + 1, monotonic_now())) {
         answered.held_back = true;
         answered.status = 0;
         return;
@@ -399,7 +403,8 @@
     const bool answered = end == upstream_end::complete && ended.status != 0;
     const bool refused = end == upstream_end::complete && ended.refused;
     const bool unreachable = end == upstream_end::not_connected || end == upstream_end::silent;
-    const try_result result = answered      ? try_result::answered
+    const bool served = answered && !ended.worker_failed;
+    const try_result result = served        ? try_result::answered
                               : refused     ? try_result::refused
                               : unreachable ? try_result::unreachable
                                             : try_result::failed;
--- a/lib/machine/node.cpp
+++ b/lib/machine/node.cpp
@@ -146,7 +146,6 @@
     context_.in_force = std::make_shared<const contract>(std::move(*content));
     context_.version = enforced.mark.version;
     proxy_.follow_contract();
-    gate_.identify_worker();
     context_.log.write(
         event_id::contract_enforced, wall_now(),
         {{"version", std::to_string(enforced.mark.version)}, {"digest", to_hex(enforced.mark.digest)}});
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -80,7 +80,7 @@
 
 void worker_gate::follow_contract() {
     const service_contract* own =
-        node_.in_force ? find_service(*node_.in_force, node_.settings.service) : nullptr;
+        node_.in_force ? find_service(*node_.in_force, node_.control.nodes.self.service) : nullptr;
     admission_.slots = node_.worker.newest ? node_.worker.newest->slots : node_.settings.slots;
     admission_.queue_limit = default_queue;
     if (own != nullptr) {
@@ -123,7 +123,9 @@
         return;
     }
     error_kind refusal = error_kind::leaving;
-    if (!may_take(refusal, now)) {
+    const std::string service = request_header(raw, call_header::service);
+    const bool is_for_another = !service.empty() && service != node_.control.nodes.self.service;
+    if (is_for_another || !may_take(refusal, now)) {
         refuse(id, refusal);
         return;
     }
@@ -390,29 +392,20 @@
 
 std::string worker_gate::health_path() const {
     const service_contract* own =
-        node_.in_force ? find_service(*node_.in_force, node_.settings.service) : nullptr;
+        node_.in_force ? find_service(*node_.in_force, node_.control.nodes.self.service) : nullptr;
     return own == nullptr ? std::string("/health") : own->health_path;
 }
 
-void worker_gate::identify_worker() {
-    if (!node_.settings.heartbeats || node_.worker.newest || asked_worker_) {
-        return;
-    }
-    asked_worker_ = true;
-    const http_request health{EVHTTP_REQ_GET, health_path(), {}, {}};
-    exchange(node_.loop, node_.settings.worker, health, probe_timeout, [this](const http_answer& answer) {
-        if (answer.how != http_answer::delivery::answered) {
-            return;
-        }
-        take_health(node_.worker, header_value(answer.headers, platform::header::answering_worker),
-                    answer.status == status_ok, monotonic_now());
-        show_worker("identified");
-    });
-}
-
 report_verdict worker_gate::take_report(const worker_report& report) {
     const std::uint64_t before = node_.worker.newest ? node_.worker.newest->sequence : 0;
     const bool was_taking = takes_work(node_.worker);
+    const bool names_service = report.state != worker_state::left;
+    if (names_service && node_.in_force && find_service(*node_.in_force, report.service) == nullptr) {
+        return report_verdict::foreign;
+    }
+    if (const auto& former = node_.control.nodes.former_self; former && !former->left_worker.empty()) {
+        remember_leave(node_.worker, former->left_worker, former->left_worker_start);
+    }
     const report_verdict verdict = waxwingfall::take_report(node_.worker, report, monotonic_now());
     if (verdict == report_verdict::taken && (before == 0 || was_taking != takes_work(node_.worker))) {
         node_.log.write(event_id::worker_reported, wall_now(),
@@ -431,9 +424,20 @@
     const std::uint32_t reported = node_.worker.newest ? node_.worker.newest->slots : node_.settings.slots;
     const std::uint32_t slots = takes ? reported : 0;
     membership& nodes = node_.control.nodes;
-    if (nodes.self.slots == slots || node_.leaving) {
+    // What the worker says of its service goes before the settings: addresses are used again by other
+    // services.
+    const std::string service = node_.worker.newest && !node_.worker.newest->service.empty()
+                                    ? node_.worker.newest->service
+                                    : nodes.self.service;
+    const bool has_left = node_.worker.leaving && nodes.self.left_worker != node_.worker.worker_id;
+    if ((nodes.self.slots == slots && nodes.self.service == service && !has_left) || node_.leaving) {
         return;
     }
+    nodes.self.service = service;
+    if (has_left) {
+        nodes.self.left_worker = node_.worker.worker_id;
+        nodes.self.left_worker_start = node_.worker.newest ? node_.worker.newest->incarnation : 0;
+    }
     healthy_ = takes;
     node_.log.write(event_id::worker_health_changed, wall_now(), {{"health", why}});
     const time_point now = monotonic_now();
--- a/lib/zone/member.cpp
+++ b/lib/zone/member.cpp
@@ -23,6 +23,8 @@
     out.set_slots(value.slots);
     out.set_incarnation(value.incarnation);
     out.set_state(static_cast<std::uint32_t>(value.state));
+    out.set_left_worker(value.left_worker);
+    out.set_left_worker_start(value.left_worker_start);
     return out;
 }
 
@@ -39,6 +41,8 @@
     in.slots = value.slots();
     in.incarnation = value.incarnation();
     in.state = static_cast<member_state>(std::min(value.state(), highest));
+    in.left_worker = value.left_worker();
+    in.left_worker_start = value.left_worker_start();
     return in;
 }
 
--- a/lib/zone/membership.cpp
+++ b/lib/zone/membership.cpp
@@ -229,6 +229,11 @@
             const bool is_newer = record.incarnation > state.self.incarnation;
             state.name_conflicts +=
                 is_alive && is_newer && record.control_address != state.self.control_address ? 1 : 0;
+            const bool is_former = record.incarnation < state.self.incarnation &&
+                                   record.control_address == state.self.control_address;
+            if (is_former && !state.former_self) {
+                state.former_self = record;
+            }
             if (supersedes(record, state.self)) {
                 refute(state, record, now);
                 news.push_back(state.self);
--- a/unittests/call/placement_test.cpp
+++ b/unittests/call/placement_test.cpp
@@ -93,6 +93,24 @@
     EXPECT_EQ(place_call(table, question(true), start, random), member_id{2});
 }
 
+TEST(Placement, AFailureIsWorthAnotherTryOnlyIfTheOthersDoBetter) {
+    routing_table table = table_of({worker(1, "here"), worker(2, "here"), worker(3, "here")});
+    const auto fail = [&](member_id id, int times) {
+        for (int index = 0; index < times; ++index) {
+            begin_try(table, "s", id);
+            end_try(table, "s", id, try_result::failed, {}, start);
+        }
+    };
+    fail(1, 10);
+    EXPECT_TRUE(others_do_better(table, "s", 1));
+    fail(2, 5);
+    fail(3, 5);
+    EXPECT_FALSE(others_do_better(table, "s", 1));
+    EXPECT_FALSE(others_do_better(table, "other", 1));
+    routing_table alone = table_of({worker(1, "here")});
+    EXPECT_FALSE(others_do_better(alone, "s", 1));
+}
+
 TEST(Placement, AWorkerThatWasSlowOnceIsTriedAgain) {
     routing_table table = table_of({worker(1, "here"), worker(2, "here")});
     random_source random(1);
--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -73,6 +73,16 @@
     EXPECT_EQ(pick_endpoint(table, "other", {}, start, random), std::nullopt);
 }
 
+TEST(Routing, AnAddressThatGoesToAnotherServiceLeavesItsOldOne) {
+    routing_table table = table_of({worker(1, "here")});
+    random_source random(1);
+    member moved = worker(1, "here");
+    moved.service = "other";
+    update_endpoint(table, moved, start);
+    EXPECT_EQ(pick_endpoint(table, "s", {}, start, random), std::nullopt);
+    EXPECT_EQ(pick_endpoint(table, "other", {}, start, random), member_id{1});
+}
+
 TEST(Routing, FailuresEjectOneButNeverEmptyAService) {
     routing_table table = table_of({worker(1, "here"), worker(2, "here")});
     random_source random(1);
