--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -579,16 +579,16 @@
 }
 
 void call_proxy::log_failure(const call& failed, error_kind kind, outcome result) {
-    node_.log.write(
-        event_id::call_failed, wall_now(),
-        {{"request", request_id(failed)},
-         {"route", failed.route == nullptr ? std::string() : failed.route->host + failed.route->prefix},
-         {"service", failed.service == nullptr ? std::string() : failed.service->name},
-         {"reason", std::string(answer_of(kind).name)},
-         {"outcome", std::string(outcome_name(result))},
-         {"tries", std::to_string(failed.tried.size())},
-         {"version", std::to_string(failed.version)},
-         {"age_ms", std::to_string(elapsed_ms(failed.received_at, monotonic_now()))}});
+    node_.log.write(event_id::call_failed, wall_now(),
+                    {{"request", request_id(failed)},
+                     {"route", failed.route == nullptr ? failed.received.host + failed.received.path
+                                                       : failed.route->host + failed.route->prefix},
+                     {"service", failed.service == nullptr ? std::string() : failed.service->name},
+                     {"reason", std::string(answer_of(kind).name)},
+                     {"outcome", std::string(outcome_name(result))},
+                     {"tries", std::to_string(failed.tried.size())},
+                     {"version", std::to_string(failed.version)},
+                     {"age_ms", std::to_string(elapsed_ms(failed.received_at, monotonic_now()))}});
 }
 
 void call_proxy::remove(std::uint64_t id) {
