--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <optional>
 
+#include "gate_request.h"
+
 namespace waxwingfall {
 
 namespace {
@@ -11,11 +13,8 @@
 constexpr milliseconds sweep_period{20};
 constexpr milliseconds connection_reuse{5000};
 constexpr milliseconds longest_call{600'000};
-constexpr milliseconds probe_timeout{1000};
-constexpr std::uint32_t probes_to_distrust = 3;
 constexpr std::uint32_t default_queue = 24;
 constexpr int first_failure_status = 400;
-constexpr int status_ok = 200;
 
 /// How urgent a request is, by what the caller's node says of it.
 waiting_request read_urgency(evhttp_request* raw, std::uint64_t id, time_point deadline, time_point now) {
@@ -34,32 +33,8 @@
     return waiting;
 }
 
-probe_result probe_result_of(const http_answer& answer) {
-    switch (answer.how) {
-    case http_answer::delivery::answered:
-        return probe_result::answered;
-    case http_answer::delivery::not_connected:
-        return probe_result::refused;
-    case http_answer::delivery::lost:
-        return probe_result::lost;
-    }
-    return probe_result::lost;
-}
-
 } // namespace
 
-struct worker_gate::request {
-    received_request received;
-    std::unique_ptr<downstream> caller;
-    time_point deadline;
-    time_point started;
-    std::uint64_t upstream = 0;
-    bool running = false;
-    bool worker_refused = false;
-    bool timed_out = false;
-    waiting_request urgency;
-};
-
 worker_gate::worker_gate(node_context& node)
     : node_(node), worker_(node.loop, connection_reuse),
       server_(node.loop, node.settings.inbound, [this](evhttp_request* raw) { receive(raw); }),
@@ -266,40 +241,6 @@
     }
 }
 
-void worker_gate::seek_crash() {
-    const http_request health{EVHTTP_REQ_GET, health_path(), {}, {}};
-    exchange(node_.loop, node_.settings.worker, health, probe_timeout,
-             [this](const http_answer& answer) { note_crash_probe(answer); });
-}
-
-void worker_gate::note_crash_probe(const http_answer& answer) {
-    const time_point now = monotonic_now();
-    const crash_finding finding = judge_probe(crashes_, probe_result_of(answer));
-    if (finding.probe_after) {
-        next_crash_probe_ = loop_event::after(node_.loop, *finding.probe_after, [this] { seek_crash(); });
-        return;
-    }
-    if (finding.crashed) {
-        node_.log.write(event_id::worker_crashed, wall_now(),
-                        {{"requests", std::to_string(finding.decided.size())}});
-    }
-    for (const std::uint64_t id : finding.decided) {
-        end_broken(id, finding.crashed, now);
-    }
-    note_probe(answer);
-}
-
-void worker_gate::end_broken(std::uint64_t id, bool crashed, time_point now) {
-    const auto fingerprint = broken_fingerprints_.extract(id);
-    if (crashed) {
-        // Sent before the answer, so that the news is on its way when somebody retries.
-        spread_crash(node_, fingerprint.mapped(), node_.control.nodes.self.id, now);
-    }
-    if (requests_.contains(id)) {
-        fail(id, crashed ? error_kind::worker_crashed : error_kind::worker_failed);
-    }
-}
-
 void worker_gate::refuse(std::uint64_t id, error_kind kind) {
     node_.counts.refused_by_gate += 1;
     node_.log.write(
@@ -390,108 +331,4 @@
     worker_.close_idle(now);
 }
 
-std::string worker_gate::health_path() const {
-    const service_contract* own =
-        node_.in_force ? find_service(*node_.in_force, node_.control.nodes.self.service) : nullptr;
-    return own == nullptr ? std::string("/health") : own->health_path;
-}
-
-report_verdict worker_gate::take_report(const worker_report& report) {
-    const std::uint64_t before = node_.worker.newest ? node_.worker.newest->sequence : 0;
-    const bool was_taking = takes_work(node_.worker);
-    const bool names_service = report.state != worker_state::left;
-    if (names_service && node_.in_force && find_service(*node_.in_force, report.service) == nullptr) {
-        return report_verdict::foreign;
-    }
-    if (const auto& former = node_.control.nodes.former_self; former && !former->left_worker.empty()) {
-        remember_leave(node_.worker, former->left_worker, former->left_worker_start);
-    }
-    const report_verdict verdict = waxwingfall::take_report(node_.worker, report, monotonic_now());
-    if (verdict == report_verdict::taken && (before == 0 || was_taking != takes_work(node_.worker))) {
-        node_.log.write(event_id::worker_reported, wall_now(),
-                        {{"worker", report.worker_id},
-                         {"incarnation", std::to_string(report.incarnation)},
-                         {"sequence", std::to_string(report.sequence)},
-                         {"state", takes_work(node_.worker) ? "ready" : "leaving"},
-                         {"slots", std::to_string(report.slots)}});
-    }
-    show_worker("reported");
-    return verdict;
-}
-
-void worker_gate::show_worker(const std::string& why) {
-    const bool takes = takes_work(node_.worker) && !node_.leaving;
-    const std::uint32_t reported = node_.worker.newest ? node_.worker.newest->slots : node_.settings.slots;
-    const std::uint32_t slots = takes ? reported : 0;
-    membership& nodes = node_.control.nodes;
-    // What the worker says of its service goes before the settings: addresses are used again by other
-    // services.
-    const std::string service = node_.worker.newest && !node_.worker.newest->service.empty()
-                                    ? node_.worker.newest->service
-                                    : nodes.self.service;
-    const bool has_left = node_.worker.leaving && nodes.self.left_worker != node_.worker.worker_id;
-    if ((nodes.self.slots == slots && nodes.self.service == service && !has_left) || node_.leaving) {
-        return;
-    }
-    nodes.self.service = service;
-    if (has_left) {
-        nodes.self.left_worker = node_.worker.worker_id;
-        nodes.self.left_worker_start = node_.worker.newest ? node_.worker.newest->incarnation : 0;
-    }
-    healthy_ = takes;
-    node_.log.write(event_id::worker_health_changed, wall_now(), {{"health", why}});
-    const time_point now = monotonic_now();
-    nodes.self.slots = slots;
-    send_all(node_, set_own_state(nodes, member_state::alive, now).messages);
-    update_endpoint(node_.routing, nodes.self, now);
-}
-
-void worker_gate::probe_worker() {
-    const http_request health{EVHTTP_REQ_GET, health_path(), {}, {}};
-    exchange(node_.loop, node_.settings.worker, health, probe_timeout,
-             [this](const http_answer& answer) { note_probe(answer); });
-}
-
-void worker_gate::note_probe(const http_answer& answer) {
-    if (node_.settings.heartbeats) {
-        if (answer.how == http_answer::delivery::not_connected) {
-            note_unreachable(node_.worker);
-            show_worker("unreachable");
-        }
-        return;
-    }
-    if (answer.how == http_answer::delivery::not_connected) {
-        set_health(false, "unreachable");
-        return;
-    }
-    if (answer.how == http_answer::delivery::answered && answer.status == status_ok) {
-        failed_probes_ = 0;
-        set_health(true, "healthy");
-        return;
-    }
-    if (answer.how == http_answer::delivery::answered && answer.body.starts_with("draining")) {
-        set_health(false, "draining");
-        return;
-    }
-    // A health endpoint may lag or mislead: it is believed only if it insists and no request ends well
-    // meanwhile.
-    failed_probes_ += 1;
-    if (failed_probes_ >= probes_to_distrust) {
-        set_health(false, "unhealthy");
-    }
-}
-
-void worker_gate::set_health(bool healthy, const std::string& why) {
-    if (healthy == healthy_ || node_.leaving) {
-        return;
-    }
-    healthy_ = healthy;
-    node_.log.write(event_id::worker_health_changed, wall_now(), {{"health", why}});
-    const time_point now = monotonic_now();
-    membership& nodes = node_.control.nodes;
-    nodes.self.slots = healthy ? node_.settings.slots : 0;
-    send_all(node_, set_own_state(nodes, member_state::alive, now).messages);
-    update_endpoint(node_.routing, nodes.self, now);
-}
-
 } // namespace waxwingfall
