--- a/include/waxwingfall/link/address.h
+++ b/include/waxwingfall/link/address.h
@@ -17,6 +17,9 @@
     auto operator<=>(const ip_address&) const = default;
 };
 
+/// "HOST:PORT", as `parse_address` reads it.
+std::string to_string(const ip_address& address);
+
 /// How addresses of another data centre are reached from this one, where they are translated on the way: an
 /// address that starts with `from` starts with `to` instead.
 struct address_translation {
--- a/include/waxwingfall/link/event_loop.h
+++ b/include/waxwingfall/link/event_loop.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include <event2/event.h>
+#include <sys/time.h>
 
 #include "waxwingfall/support/time.h"
 
@@ -53,6 +54,9 @@
     std::unique_ptr<state, state_deleter> state_;
 };
 
+/// A length of time in the form that the event library takes.
+timeval to_timeval(milliseconds length);
+
 /// The present monotonic time, for passing into functions that decide.
 inline time_point monotonic_now() {
     return std::chrono::steady_clock::now();
--- a/include/waxwingfall/machine/call_headers.h
+++ b/include/waxwingfall/machine/call_headers.h
@@ -1,6 +1,7 @@
 #ifndef WAXWINGFALL_MACHINE_CALL_HEADERS_H
 #define WAXWINGFALL_MACHINE_CALL_HEADERS_H
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -59,6 +60,9 @@
 /// Headers of a worker's answer that may be passed on, without those that nodes set.
 std::vector<http_header> passable_headers(const std::vector<http_header>& headers);
 
+/// The whole number that a header between nodes begins with; nothing if it has none.
+std::optional<std::uint32_t> whole_number(std::string_view text);
+
 /// Replaces or adds a header.
 void set_header(std::vector<http_header>& headers, std::string_view name, std::string value);
 
--- a/include/waxwingfall/machine/worker_gate.h
+++ b/include/waxwingfall/machine/worker_gate.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -59,6 +60,8 @@
     void end_broken(std::uint64_t id, bool crashed, time_point now);
     void set_health(bool healthy, const std::string& why);
     void follow_contract();
+    void ask_health(std::function<void(const http_answer&)> done) const;
+    void announce(bool healthy, std::uint32_t slots, const std::string& why);
     void show_worker(const std::string& why);
     bool may_take(error_kind& refusal, time_point now) const;
     std::string health_path() const;
--- a/lib/link/address.cpp
+++ b/lib/link/address.cpp
@@ -33,4 +33,8 @@
     return address;
 }
 
+std::string to_string(const ip_address& address) {
+    return address.host + ":" + std::to_string(address.port);
+}
+
 } // namespace waxwingfall
--- a/lib/link/event_loop.cpp
+++ b/lib/link/event_loop.cpp
@@ -5,15 +5,11 @@
 
 namespace waxwingfall {
 
-namespace {
-
 timeval to_timeval(milliseconds duration) {
     constexpr std::int64_t thousand = 1000;
     return {duration.count() / thousand, (duration.count() % thousand) * thousand};
 }
 
-} // namespace
-
 struct loop_event::state {
     event* handle = nullptr;
     std::function<void()> action;
--- a/lib/link/http.cpp
+++ b/lib/link/http.cpp
@@ -68,8 +68,7 @@
     pending->done = std::move(done);
     pending->connection =
         evhttp_connection_base_new(loop.base(), nullptr, address.host.c_str(), address.port);
-    constexpr std::int64_t thousand = 1000;
-    const timeval limit{timeout.count() / thousand, (timeout.count() % thousand) * thousand};
+    const timeval limit = to_timeval(timeout);
     evhttp_connection_set_timeout_tv(pending->connection, &limit);
     evhttp_connection_set_max_body_size(pending->connection, max_body);
     evhttp_connection_set_max_headers_size(pending->connection, max_headers);
--- a/lib/machine/call_headers.cpp
+++ b/lib/machine/call_headers.cpp
@@ -113,6 +113,12 @@
     return passed;
 }
 
+std::optional<std::uint32_t> whole_number(std::string_view text) {
+    std::uint32_t value = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+    return read.ec == std::errc{} ? std::optional(value) : std::nullopt;
+}
+
 void set_header(std::vector<http_header>& headers, std::string_view name, std::string value) {
     std::erase_if(headers, [&](const http_header& header) { return same_header(header.name, name); });
     headers.push_back({std::string(name), std::move(value)});
--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -25,9 +25,7 @@
     evhttp_set_max_headers_size(raw, node.settings.max_header_bytes);
     evhttp_set_allowed_methods(raw, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
                                         EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
-    constexpr std::int64_t thousand = 1000;
-    const timeval limit{node.settings.caller_timeout.count() / thousand,
-                        (node.settings.caller_timeout.count() % thousand) * thousand};
+    const timeval limit = to_timeval(node.settings.caller_timeout);
     evhttp_set_timeout_tv(raw, &limit);
 }
 
@@ -40,9 +38,7 @@
     }
     // Longer than promised: a request that crosses the close of its connection has to be sent again.
     constexpr std::int64_t margin = 5;
-    constexpr std::int64_t thousand = 1000;
-    const std::int64_t ms = limits.idle_timeout_ms + limits.idle_timeout_ms / margin;
-    const timeval limit{ms / thousand, (ms % thousand) * thousand};
+    const timeval limit = to_timeval(milliseconds(limits.idle_timeout_ms + limits.idle_timeout_ms / margin));
     evhttp_set_timeout_tv(server_.raw(), &limit);
 }
 
--- a/lib/machine/call_tries.cpp
+++ b/lib/machine/call_tries.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <charconv>
 
 #include "call_state.h"
 #include "waxwingfall/call/call_decisions.h"
@@ -21,10 +20,8 @@
 constexpr milliseconds hop_acknowledgement{400};
 
 std::optional<double> number_in(const std::vector<http_header>& headers, const char* name) {
-    const std::string text = header_value(headers, name);
-    int value = 0;
-    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
-    return text.empty() || result.ec != std::errc{} ? std::nullopt : std::optional<double>(value);
+    const auto number = whole_number(header_value(headers, name));
+    return number ? std::optional<double>(*number) : std::nullopt;
 }
 
 /// The error kind that a worker's node names as the reason of its refusal.
--- a/lib/machine/gate_request.h
+++ b/lib/machine/gate_request.h
@@ -19,7 +19,6 @@
     std::uint64_t upstream = 0;
     bool running = false;
     bool worker_refused = false;
-    bool timed_out = false;
     waiting_request urgency;
 };
 
--- a/lib/machine/node_context.cpp
+++ b/lib/machine/node_context.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-std::string as_text(const ip_address& address) {
-    return address.host + ":" + std::to_string(address.port);
-}
-
 content_rules contract_rules() {
     return {why_refused, make_delta, apply_delta};
 }
@@ -24,8 +20,8 @@
     self.data_centre = settings.data_centre;
     self.region = settings.region;
     self.service = settings.service;
-    self.control_address = as_text(settings.control);
-    self.inbound_address = as_text(settings.inbound);
+    self.control_address = to_string(settings.control);
+    self.inbound_address = to_string(settings.inbound);
     self.slots = settings.heartbeats ? 0 : settings.slots;
     // Higher than that of any earlier process of this name; refutation mends a clock that went back.
     self.incarnation = wall_now();
@@ -38,7 +34,7 @@
       control(start_zone(node_settings.zone, node_settings.environment, self_record(node_settings),
                          node_settings.peers, contract_rules(), monotonic_now())) {
     records.life = random() | 1U;
-    worker.address = as_text(node_settings.worker);
+    worker.address = to_string(node_settings.worker);
     routing.policy = settings.routing;
     routing.data_centre = settings.data_centre;
     routing.region = settings.region;
--- a/lib/machine/settings.cpp
+++ b/lib/machine/settings.cpp
@@ -20,10 +20,6 @@
 constexpr std::uint32_t min_body_bytes = 1'024;
 constexpr std::uint32_t max_body_limit = 8'388'608;
 
-std::string as_text(const ip_address& address) {
-    return address.host + ":" + std::to_string(address.port);
-}
-
 ip_address read_address(yaml_reader& reader, const yaml_value& map, std::string_view key) {
     const std::string text = reader.text(map, key, true);
     const yaml_value* value = reader.child(map, key, false);
@@ -168,7 +164,7 @@
             reader.report(error_kind::wrong_type, item, "each peer must be an IPv4 address and a port");
             continue;
         }
-        settings.peers.push_back(as_text(*address));
+        settings.peers.push_back(to_string(*address));
     }
 }
 
--- a/lib/machine/upstream.cpp
+++ b/lib/machine/upstream.cpp
@@ -4,8 +4,8 @@
 #include <charconv>
 
 #include <event2/bufferevent.h>
-#include <http_parser.h>
 
+#include "upstream_connection.h"
 #include "waxwingfall/link/socket_options.h"
 #include "waxwingfall/machine/downstream.h"
 
@@ -14,16 +14,11 @@
 namespace {
 
 constexpr std::uint32_t max_answer_headers = 64U * 1024;
-constexpr int first_final_status = 200;
 constexpr std::int64_t ms_per_s = 1000;
 
 /// Taken off the idle time that the other side promises: a request that crosses the close may be lost.
 constexpr milliseconds idle_margin{1000};
 
-timeval as_timeval(milliseconds length) {
-    return {length.count() / ms_per_s, (length.count() % ms_per_s) * ms_per_s};
-}
-
 /// The idle time in a Keep-Alive header such as "timeout=5", or `fallback`.
 milliseconds promised_idle(const std::vector<http_header>& headers, milliseconds fallback) {
     const std::string text = header_value(headers, "Keep-Alive");
@@ -60,137 +55,6 @@
     std::shared_ptr<connection> carrier;
 };
 
-/// One connection with the state of the answer that it reads. The parser's callbacks only note what they met;
-/// `deliver` hands it on once the parser has returned, because a receiver may end the request.
-struct upstream_pool::connection {
-    upstream_pool* pool = nullptr;
-    ip_address address;
-    bufferevent* stream = nullptr;
-    evbuffer* body = nullptr;
-    http_parser parser{};
-    std::uint64_t current = 0; ///< the request that it carries; 0 while it is idle
-    bool connected = false;
-    bool awaited = false; ///< the answer being read is that of `current`
-    bool is_head = false; ///< the answer to a HEAD request has no body
-    bool headers_ready = false;
-    bool headers_given = false;
-    bool complete = false;
-    bool acknowledged = false; ///< an answer to the request has begun, be it an interim one
-    std::string field;
-    std::string value;
-    bool in_value = false;
-    std::vector<http_header> headers;
-    std::string echo_name;
-    std::string echo_value;
-    milliseconds reuse_limit{0};
-    time_point idle_since;
-    std::weak_ptr<connection> self;
-
-    connection() = default;
-    ~connection() {
-        if (stream != nullptr) {
-            bufferevent_free(stream);
-        }
-        evbuffer_free(body);
-    }
-    connection(const connection&) = delete;
-    connection& operator=(const connection&) = delete;
-
-    void close() {
-        if (stream != nullptr) {
-            bufferevent_free(stream);
-            stream = nullptr;
-        }
-    }
-    void store_header() {
-        if (!field.empty()) {
-            headers.push_back({std::move(field), std::move(value)});
-        }
-        field.clear();
-        value.clear();
-        in_value = false;
-    }
-};
-
-namespace {
-
-upstream_pool::connection& owner_of(http_parser* parser) {
-    return *static_cast<upstream_pool::connection*>(parser->data);
-}
-
-int on_begin(http_parser* parser) {
-    upstream_pool::connection& reader = owner_of(parser);
-    reader.headers.clear();
-    reader.field.clear();
-    reader.value.clear();
-    reader.in_value = false;
-    reader.awaited = false;
-    return 0;
-}
-
-int on_field(http_parser* parser, const char* at, std::size_t size) {
-    upstream_pool::connection& reader = owner_of(parser);
-    if (reader.in_value) {
-        reader.store_header();
-    }
-    reader.field.append(at, size);
-    return 0;
-}
-
-int on_value(http_parser* parser, const char* at, std::size_t size) {
-    upstream_pool::connection& reader = owner_of(parser);
-    reader.in_value = true;
-    reader.value.append(at, size);
-    return 0;
-}
-
-int on_headers_complete(http_parser* parser) {
-    upstream_pool::connection& reader = owner_of(parser);
-    reader.store_header();
-    const bool is_final = parser->status_code >= first_final_status;
-    // An answer to an earlier request may still come; the echoed header tells them apart.
-    const bool is_own =
-        reader.echo_name.empty() || header_value(reader.headers, reader.echo_name) == reader.echo_value;
-    reader.awaited = is_final && is_own;
-    reader.headers_ready = reader.awaited;
-    reader.acknowledged = reader.acknowledged || is_own || !is_final;
-    return reader.is_head ? 1 : 0;
-}
-
-int on_body(http_parser* parser, const char* at, std::size_t size) {
-    upstream_pool::connection& reader = owner_of(parser);
-    if (reader.awaited) {
-        evbuffer_add(reader.body, at, size);
-    }
-    return 0;
-}
-
-int on_message_complete(http_parser* parser) {
-    upstream_pool::connection& reader = owner_of(parser);
-    if (reader.awaited) {
-        reader.complete = true;
-        http_parser_pause(parser, 1);
-    }
-    return 0;
-}
-
-const http_parser_settings& parser_settings() {
-    static const http_parser_settings settings = [] {
-        http_parser_settings made;
-        http_parser_settings_init(&made);
-        made.on_message_begin = on_begin;
-        made.on_header_field = on_field;
-        made.on_header_value = on_value;
-        made.on_headers_complete = on_headers_complete;
-        made.on_body = on_body;
-        made.on_message_complete = on_message_complete;
-        return made;
-    }();
-    return settings;
-}
-
-} // namespace
-
 upstream_pool::upstream_pool(const event_loop& loop, milliseconds reuse_limit)
     : loop_(loop), reuse_limit_(reuse_limit) {
     http_parser_set_max_header_size(max_answer_headers);
@@ -217,7 +81,6 @@
     made->pool = this;
     made->address = address;
     made->body = evbuffer_new();
-    made->self = made;
     http_parser_init(&made->parser, HTTP_RESPONSE);
     made->parser.data = made.get();
     return made;
@@ -234,8 +97,7 @@
     made->carrier = take_connection(address, monotonic_now());
     connection& carrier = *made->carrier;
     carrier.current = id;
-    carrier.echo_name = options.echo ? options.echo->name : std::string();
-    carrier.echo_value = options.echo ? options.echo->value : std::string();
+    carrier.echo = options.echo;
     carrier.acknowledged = false;
     carrier.is_head = request.method == EVHTTP_REQ_HEAD;
     carrier.headers_ready = false;
@@ -256,7 +118,7 @@
     carrier.stream =
         bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(carrier.stream, on_readable, nullptr, on_event, &carrier);
-    const timeval limit = as_timeval(std::min(request.options.timeout, connect_timeout));
+    const timeval limit = to_timeval(std::min(request.options.timeout, connect_timeout));
     bufferevent_set_timeouts(carrier.stream, nullptr, &limit);
     const auto target = socket_address(carrier.address);
     if (bufferevent_socket_connect(carrier.stream, reinterpret_cast<const sockaddr*>(&target),
@@ -274,7 +136,7 @@
 
 void upstream_pool::write_request(active& request) {
     connection& carrier = *request.carrier;
-    const timeval limit = as_timeval(request.options.timeout);
+    const timeval limit = to_timeval(request.options.timeout);
     bufferevent_set_timeouts(carrier.stream, &limit, &limit);
     bufferevent_enable(carrier.stream, EV_READ | EV_WRITE);
     const std::string head = request_head(request.request);
@@ -376,7 +238,7 @@
 }
 
 void upstream_pool::on_readable(bufferevent* stream, void* context) {
-    const std::shared_ptr<connection> reader = static_cast<connection*>(context)->self.lock();
+    const std::shared_ptr<connection> reader = static_cast<connection*>(context)->shared_from_this();
     upstream_pool& pool = *reader->pool;
     if (reader->current == 0) {
         // Bytes that nobody asked for.
@@ -389,7 +251,7 @@
     while (!reader->complete && !is_malformed && evbuffer_get_length(input) > 0) {
         evbuffer_iovec piece{};
         evbuffer_peek(input, -1, nullptr, &piece, 1);
-        const std::size_t used = http_parser_execute(&reader->parser, &parser_settings(),
+        const std::size_t used = http_parser_execute(&reader->parser, &answer_parser_settings(),
                                                      static_cast<const char*>(piece.iov_base), piece.iov_len);
         const http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
         evbuffer_drain(input, used);
@@ -416,7 +278,7 @@
 }
 
 void upstream_pool::on_event(bufferevent* /*stream*/, short what, void* context) {
-    const std::shared_ptr<connection> reader = static_cast<connection*>(context)->self.lock();
+    const std::shared_ptr<connection> reader = static_cast<connection*>(context)->shared_from_this();
     upstream_pool& pool = *reader->pool;
     if (reader->current == 0) {
         reader->close();
@@ -435,7 +297,7 @@
     }
     if ((what & BEV_EVENT_EOF) != 0) {
         // The end of a connection is the end of an answer without a length.
-        http_parser_execute(&reader->parser, &parser_settings(), nullptr, 0);
+        http_parser_execute(&reader->parser, &answer_parser_settings(), nullptr, 0);
         pool.deliver(*reader, !reader->complete);
         return;
     }
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -1,7 +1,6 @@
 #include "waxwingfall/machine/worker_gate.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 
 #include "gate_request.h"
@@ -18,12 +17,7 @@
 
 /// How urgent a request is, by what the caller's node says of it.
 waiting_request read_urgency(evhttp_request* raw, std::uint64_t id, time_point deadline, time_point now) {
-    const auto number = [&](const char* name) -> std::optional<std::uint32_t> {
-        const std::string text = request_header(raw, name);
-        std::uint32_t value = 0;
-        const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
-        return text.empty() || read.ec != std::errc{} ? std::nullopt : std::optional(value);
-    };
+    const auto number = [&](const char* name) { return whole_number(request_header(raw, name)); };
     waiting_request waiting{id, deadline, number(call_header::priority).value_or(0), std::nullopt};
     const auto goal = number(call_header::goal_ms);
     // The most urgent requests are calls of requests that already run: late is better than not at all.
--- a/lib/machine/worker_watch.cpp
+++ b/lib/machine/worker_watch.cpp
@@ -21,10 +21,13 @@
 
 } // namespace
 
-void worker_gate::seek_crash() {
+void worker_gate::ask_health(std::function<void(const http_answer&)> done) const {
     const http_request health{EVHTTP_REQ_GET, health_path(), {}, {}};
-    exchange(node_.loop, node_.settings.worker, health, probe_timeout,
-             [this](const http_answer& answer) { note_crash_probe(answer); });
+    exchange(node_.loop, node_.settings.worker, health, probe_timeout, std::move(done));
+}
+
+void worker_gate::seek_crash() {
+    ask_health([this](const http_answer& answer) { note_crash_probe(answer); });
 }
 
 void worker_gate::note_crash_probe(const http_answer& answer) {
@@ -103,18 +106,21 @@
         nodes.self.left_worker = node_.worker.worker_id;
         nodes.self.left_worker_start = node_.worker.newest ? node_.worker.newest->incarnation : 0;
     }
-    healthy_ = takes;
+    announce(takes, slots, why);
+}
+
+void worker_gate::announce(bool healthy, std::uint32_t slots, const std::string& why) {
+    healthy_ = healthy;
     node_.log.write(event_id::worker_health_changed, wall_now(), {{"health", why}});
     const time_point now = monotonic_now();
+    membership& nodes = node_.control.nodes;
     nodes.self.slots = slots;
     send_all(node_, set_own_state(nodes, member_state::alive, now).messages);
     update_endpoint(node_.routing, nodes.self, now);
 }
 
 void worker_gate::probe_worker() {
-    const http_request health{EVHTTP_REQ_GET, health_path(), {}, {}};
-    exchange(node_.loop, node_.settings.worker, health, probe_timeout,
-             [this](const http_answer& answer) { note_probe(answer); });
+    ask_health([this](const http_answer& answer) { note_probe(answer); });
 }
 
 void worker_gate::note_probe(const http_answer& answer) {
@@ -150,13 +156,7 @@
     if (healthy == healthy_ || node_.leaving) {
         return;
     }
-    healthy_ = healthy;
-    node_.log.write(event_id::worker_health_changed, wall_now(), {{"health", why}});
-    const time_point now = monotonic_now();
-    membership& nodes = node_.control.nodes;
-    nodes.self.slots = healthy ? node_.settings.slots : 0;
-    send_all(node_, set_own_state(nodes, member_state::alive, now).messages);
-    update_endpoint(node_.routing, nodes.self, now);
+    announce(healthy, healthy ? node_.settings.slots : 0, why);
 }
 
 } // namespace waxwingfall
--- a/unittests/machine/upstream_test.cpp
+++ b/unittests/machine/upstream_test.cpp
@@ -1,4 +1,6 @@
 #include <string>
+#include <tuple>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
@@ -11,21 +13,26 @@
 
 namespace {
 
+/// A listening socket and its port.
+std::pair<int, std::uint16_t> listen_on_loopback() {
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    listen(listener, 16);
+    socklen_t size = sizeof(address);
+    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    return {listener, ntohs(address.sin_port)};
+}
+
 /// A worker that takes each connection, reads what comes, answers with fixed bytes and closes.
 class abrupt_worker {
 public:
     /// With `resets` it ends each connection with a reset instead of an orderly close.
     abrupt_worker(const event_loop& loop, std::string answer, bool resets = false)
         : loop_(loop), answer_(std::move(answer)), resets_(resets) {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-        listen(listener_, 16);
-        socklen_t size = sizeof(address);
-        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-        port_ = ntohs(address.sin_port);
+        std::tie(listener_, port_) = listen_on_loopback();
         accepting_ = loop_event::on_readable(loop, listener_, [this] { serve(); });
     }
     ~abrupt_worker() { close(listener_); }
@@ -145,15 +152,7 @@
 public:
     scripted_worker(const event_loop& loop, std::vector<std::string> answers)
         : loop_(loop), answers_(std::move(answers)) {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-        listen(listener_, 16);
-        socklen_t size = sizeof(address);
-        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-        port_ = ntohs(address.sin_port);
+        std::tie(listener_, port_) = listen_on_loopback();
         accepting_ = loop_event::on_readable(loop, listener_, [this] { take(); });
     }
     ~scripted_worker() {
