Count the latency objective from a client's first attempt, serve timely requests first, return within the objective

Change: return_watch tells a client's next attempt by content and deadline; the gate queues late ones behind timely ones of their priority; Retry-After leads back within the objective, or else into the last third of the honoured time.

--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -18,18 +18,21 @@
     time_point deadline;
     std::uint32_t priority = 0; ///< 0 is the most urgent
     std::optional<time_point>
-        goal{}; ///< by which the answer is worth most; nothing if only the deadline counts
+        goal{};             ///< by which the answer is worth most; nothing if only the deadline counts
+    bool past_goal = false; ///< the answer comes late whatever happens; timely ones go first
     auto operator<=>(const waiting_request&) const = default;
 };
 
 /// The worker's slots as the node beside it counts them, with a short queue. Its refusal proves that a
 /// request did not run. It answers load beyond the worker's capacity: urgent requests start first and
 /// displace others, and whoever can't be answered in time is refused on arrival instead of waiting in vain.
+/// Requests that are late already run when nothing timely waits: as many are served, and more of them in
+/// time.
 struct admission {
     std::uint32_t slots = 1;
     std::uint32_t queue_limit = 0;
     std::uint32_t running = 0;
-    std::deque<waiting_request> waiting;  ///< by priority, then in the order of arrival
+    std::deque<waiting_request> waiting;  ///< by priority, timely ones first, then in the order of arrival
     std::vector<std::uint64_t> displaced; ///< by more urgent requests, to be refused with the next turn
     std::uint32_t starts_since_least = 0; ///< turns since the least urgent request was last preferred
     double mean_run_ms = 0;               ///< of all runs, exponentially weighted
--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -35,10 +35,19 @@
 /// the caller is a call of its own.
 bool needs_key(const route_contract& route, std::string_view method);
 
-/// Seconds after which a caller that was refused should come back. Answers load that exceeds capacity: a
-/// refused caller that returns while the queue is still full is refused again, and callers refused together
-/// must not return together. `busy_for` is how long the service is expected to stay full; 0 if nobody knows.
-double retry_after_s(milliseconds busy_for, random_source& random);
+/// What bears on when a caller that was refused should come back.
+struct return_question {
+    milliseconds run_time{0};  ///< that a call of the service takes; 0 if nobody knows
+    milliseconds goal_left{0}; ///< until the answer is worth less; 0 if that has passed
+    milliseconds time_left{0}; ///< until the caller gives up
+    auto operator<=>(const return_question&) const = default;
+};
+
+/// Seconds after which a caller that was refused should come back. Answers load that exceeds capacity:
+/// callers refused together must not return together. One that can still be answered in time comes back soon,
+/// since arrivals that exceed capacity for a moment are the commonest cause; any other comes back late, when
+/// a longer overload may be over.
+double retry_after_s(const return_question& question, random_source& random);
 
 /// The error that ends a call after its last try: a refusal proves nothing once another try may have run.
 error_kind final_kind(error_kind last, bool may_have_run);
--- a/include/waxwingfall/call/routing.h
+++ b/include/waxwingfall/call/routing.h
@@ -58,6 +58,7 @@
     time_point ejected_until;
     time_point refused_until;
     std::uint32_t refused_priority = 0; ///< of the refused call; more urgent ones may be taken
+    bool refused_past_goal = false;     ///< so was the refused call; timely ones may be taken
 };
 
 /// The endpoints of each service, as far as they may take new work.
@@ -85,6 +86,7 @@
     std::optional<double> mean_run_ms;   ///< of its worker
     std::uint32_t priority = 0;          ///< of the call that it answers
     std::optional<milliseconds> pause{}; ///< after a refusal, until a call like this one may be taken
+    bool past_goal = false;              ///< the call that it answers was late already
     auto operator<=>(const endpoint_report&) const = default;
 };
 
--- a/include/waxwingfall/machine/call_headers.h
+++ b/include/waxwingfall/machine/call_headers.h
@@ -28,7 +28,7 @@
 inline constexpr const char* service = "X-Waxwingfall-Service"; ///< between nodes: that the call is placed at
 inline constexpr const char* priority = "X-Waxwingfall-Priority"; ///< between nodes: that of the route
 inline constexpr const char* goal_ms =
-    "X-Waxwingfall-Goal-Ms"; ///< between nodes: what is left of the latency objective
+    "X-Waxwingfall-Goal-Ms"; ///< between nodes: what is left of the latency objective, 0 if it is missed
 inline constexpr const char* pause_ms =
     "X-Waxwingfall-Pause-Ms"; ///< between nodes: when a request like the refused one may be taken
 inline constexpr const char* replayed = "X-Waxwingfall-Replayed"; ///< the answer of an earlier run
@@ -51,6 +51,9 @@
 /// The deadline that a request carries, at most `limit` after `now`; a malformed value counts as none.
 time_point read_deadline(const std::vector<http_header>& headers, milliseconds limit, time_point now);
 
+/// How long the caller still waits, by its own word.
+std::optional<milliseconds> read_patience(const std::vector<http_header>& headers);
+
 /// Headers of an answer that this node gives itself.
 std::vector<http_header> error_headers(error_kind kind, outcome result);
 
--- a/include/waxwingfall/machine/call_proxy.h
+++ b/include/waxwingfall/machine/call_proxy.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "waxwingfall/call/return_watch.h"
 #include "waxwingfall/call/routing.h"
 #include "waxwingfall/machine/call_headers.h"
 #include "waxwingfall/machine/downstream.h"
@@ -54,6 +55,9 @@
     struct retry_budget& budget_of(const std::string& service);
     static std::string request_id(const call& of);
     std::string endpoint_name(member_id id) const;
+    void note_unserved(const call& ended);
+    double retry_after_s(const call& refused);
+    std::optional<milliseconds> goal_left(const call& open, time_point now) const;
     void log_placement(const call& placed, time_point now);
     void log_answer(const call& answered);
     void log_failure(const call& failed, error_kind kind, outcome result);
@@ -69,6 +73,7 @@
     std::map<std::uint64_t, std::unique_ptr<call>> calls_;
     std::map<std::uint64_t, std::uint64_t> call_of_attempt_;
     std::map<std::string, struct retry_budget> budgets_; ///< by service
+    return_watch returns_;
     std::uint64_t next_id_ = 1;
     http_server server_;
     loop_event sweep_;
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -1,6 +1,7 @@
 #include "waxwingfall/call/admission.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace waxwingfall {
 
@@ -11,6 +12,10 @@
 /// Of so many starts one goes to the least urgent request, so that no kind of request starves.
 constexpr std::uint32_t starts_per_least_urgent = 8;
 
+/// For which a request that is late already may be expected to wait: a fraction of a usual run. Timely ones
+/// overtake it, so a longer wait would mostly end in a refusal.
+constexpr milliseconds longest_late_wait{100};
+
 double run_ms_of(const admission& state, std::uint32_t priority) {
     const auto known = state.mean_run_ms_of.find(priority);
     return known == state.mean_run_ms_of.end() ? state.mean_run_ms : known->second;
@@ -28,19 +33,30 @@
     return now + milliseconds(static_cast<std::int64_t>(ms));
 }
 
+/// The latest end at which a request is worth a place in the queue.
+time_point latest_end(const admission& state, const waiting_request& request, time_point now) {
+    if (!request.past_goal) {
+        return request.goal.value_or(request.deadline);
+    }
+    const milliseconds run(static_cast<std::int64_t>(run_ms_of(state, request.priority)));
+    return std::min(request.deadline, now + longest_late_wait + run);
+}
+
 bool comes_too_late(const admission& state, const waiting_request& request, std::size_t ahead,
                     time_point now) {
-    return expected_end(state, request, ahead, now) > request.goal.value_or(request.deadline);
+    return expected_end(state, request, ahead, now) > latest_end(state, request, now);
+}
+
+bool is_more_urgent(const waiting_request& one, const waiting_request& other) {
+    return std::pair(one.priority, one.past_goal) < std::pair(other.priority, other.past_goal);
 }
 
 void learn(double& mean, double sample) {
     mean = mean == 0 ? sample : mean * (1 - mean_weight) + sample * mean_weight;
 }
 
-std::size_t count_ahead(const admission& state, std::uint32_t priority) {
-    const auto place =
-        std::upper_bound(state.waiting.begin(), state.waiting.end(), priority,
-                         [](std::uint32_t own, const waiting_request& each) { return own < each.priority; });
+std::size_t count_ahead(const admission& state, const waiting_request& request) {
+    const auto place = std::upper_bound(state.waiting.begin(), state.waiting.end(), request, is_more_urgent);
     return static_cast<std::size_t>(place - state.waiting.begin());
 }
 
@@ -93,9 +109,10 @@
         state.running += 1;
         return admission_verdict::run;
     }
-    const std::size_t ahead = count_ahead(state, request.priority);
+    const std::size_t ahead = count_ahead(state, request);
     const bool is_full = state.waiting.size() >= state.queue_limit;
-    const bool is_kept = state.queue_limit > 1 && is_only_least_urgent(state, request.priority) &&
+    const bool is_kept = state.queue_limit > 1 && !request.past_goal &&
+                         is_only_least_urgent(state, request.priority) &&
                          reaches_kept_start(state, request, now);
     const bool has_place = !is_full || ahead < state.waiting.size();
     if (!is_kept && (!has_place || comes_too_late(state, request, ahead, now))) {
@@ -109,7 +126,7 @@
         state.waiting.begin() + static_cast<std::ptrdiff_t>(std::min(ahead, state.waiting.size())), request);
     for (std::size_t index = state.waiting.size(); index-- > ahead + 1;) {
         const waiting_request& behind = state.waiting[index];
-        const bool keeps_place = state.waiting[index - 1].priority < behind.priority &&
+        const bool keeps_place = !behind.past_goal && state.waiting[index - 1].priority < behind.priority &&
                                  index + 1 == state.waiting.size() && reaches_kept_start(state, behind, now);
         if (!keeps_place && comes_too_late(state, behind, index, now)) {
             displace(state, index);
@@ -152,9 +169,9 @@
 }
 
 milliseconds missing_time(const admission& state, const waiting_request& request, time_point now) {
-    const time_point end = expected_end(state, request, count_ahead(state, request.priority), now);
+    const time_point end = expected_end(state, request, count_ahead(state, request), now);
     return std::max(milliseconds(0),
-                    std::chrono::duration_cast<milliseconds>(end - request.goal.value_or(request.deadline)));
+                    std::chrono::duration_cast<milliseconds>(end - latest_end(state, request, now)));
 }
 
 } // namespace waxwingfall
--- a/lib/call/call_decisions.cpp
+++ b/lib/call/call_decisions.cpp
@@ -48,13 +48,23 @@
     return route.kind == request_kind::non_idempotent || needs_key(route, method);
 }
 
-double retry_after_s(milliseconds busy_for, random_source& random) {
-    // Half a second is the mean run of the deployments' slower requests, so that some slots are free again.
-    constexpr std::uint64_t base_ms = 250;
-    constexpr std::uint64_t spread_ms = 500;
+double retry_after_s(const return_question& question, random_source& random) {
+    // Slots of a worker free up every 20 to 40 ms, and a caller's way back takes two round trips of 16 ms.
+    constexpr std::int64_t soonest_ms = 50;
+    constexpr std::int64_t way_back_ms = 50;
+    constexpr std::int64_t default_run_ms = 200;
+    // Callers honour up to a third of the time that they have left.
+    constexpr std::int64_t honoured_part = 3;
     constexpr double ms_per_s = 1000.0;
-    const std::uint64_t busy = static_cast<std::uint64_t>(busy_for.count());
-    return static_cast<double>(busy + base_ms + random_below(random, spread_ms)) / ms_per_s;
+    const std::int64_t run_ms = question.run_time.count() > 0 ? question.run_time.count() : default_run_ms;
+    std::int64_t earliest = soonest_ms;
+    std::int64_t latest = question.goal_left.count() - run_ms - way_back_ms;
+    if (latest <= earliest) {
+        latest = std::max(question.time_left.count() / honoured_part, 2 * soonest_ms);
+        earliest = latest / 2;
+    }
+    const auto spread = static_cast<std::uint64_t>(latest - earliest);
+    return static_cast<double>(earliest + static_cast<std::int64_t>(random_below(random, spread))) / ms_per_s;
 }
 
 bool is_worth_a_retry(error_kind refusal) {
--- a/lib/call/placement.cpp
+++ b/lib/call/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace waxwingfall {
 
@@ -38,8 +39,10 @@
     return cut != table.cut_data_centres.end() && now < cut->second;
 }
 
-bool refuses(const endpoint& candidate, std::uint32_t priority, time_point now) {
-    return now < candidate.refused_until && priority >= candidate.refused_priority;
+bool refuses(const endpoint& candidate, const placement_question& question, time_point now) {
+    return now < candidate.refused_until &&
+           std::pair(question.priority, question.past_goal) >=
+               std::pair(candidate.refused_priority, candidate.refused_past_goal);
 }
 
 /// True if an endpoint has said lately how long its runs take. One that was slow once is tried again later,
@@ -82,6 +85,13 @@
 
 } // namespace
 
+milliseconds typical_run(const routing_table& table, const std::string& service, time_point now) {
+    const auto group = table.services.find(service);
+    const double run =
+        group == table.services.end() ? default_run_ms : typical_run_ms(table, group->second, now);
+    return milliseconds(static_cast<std::int64_t>(run));
+}
+
 bool others_do_better(const routing_table& table, const std::string& service, member_id failed) {
     const auto group = table.services.find(service);
     if (group == table.services.end()) {
@@ -108,7 +118,7 @@
     for (const auto& [id, candidate] : group->second) {
         const bool was_tried =
             std::find(question.tried.begin(), question.tried.end(), id) != question.tried.end();
-        if (was_tried || is_cut_off(table, candidate, now) || refuses(candidate, question.priority, now)) {
+        if (was_tried || is_cut_off(table, candidate, now) || refuses(candidate, question, now)) {
             continue;
         }
         constexpr std::uint64_t steps = 1000;
--- /dev/null
+++ b/lib/call/return_watch.cpp
@@ -0,0 +1,43 @@
+#include "waxwingfall/call/return_watch.h"
+
+namespace waxwingfall {
+
+namespace {
+
+/// By which the deadlines of two attempts of one client differ at most: its rounding and the jitter of its
+/// way to the node. Ends of attempts that were played differed by 2 ms.
+constexpr milliseconds deadline_tolerance{50};
+
+bool is_same_end(time_point one, time_point other) {
+    return one - other <= deadline_tolerance && other - one <= deadline_tolerance;
+}
+
+void forget_oldest(return_watch& watch) {
+    const auto& [deadline, fingerprint] = watch.deadlines.front();
+    const auto found = watch.unserved.find(fingerprint);
+    if (found != watch.unserved.end() && found->second.deadline == deadline) {
+        watch.unserved.erase(found);
+    }
+    watch.deadlines.pop_front();
+}
+
+} // namespace
+
+void note_unserved(return_watch& watch, const std::string& fingerprint, const unserved_request& request,
+                   time_point now) {
+    while (!watch.deadlines.empty() &&
+           (watch.deadlines.front().first < now || watch.deadlines.size() >= watch.limit)) {
+        forget_oldest(watch);
+    }
+    watch.unserved.insert_or_assign(fingerprint, request);
+    watch.deadlines.emplace_back(request.deadline, fingerprint);
+}
+
+time_point first_received(const return_watch& watch, const std::string& fingerprint, time_point deadline,
+                          time_point now) {
+    const auto found = watch.unserved.find(fingerprint);
+    const bool is_return = found != watch.unserved.end() && is_same_end(found->second.deadline, deadline);
+    return is_return ? found->second.first_received : now;
+}
+
+} // namespace waxwingfall
--- a/lib/call/routing.cpp
+++ b/lib/call/routing.cpp
@@ -222,6 +222,7 @@
         used->refused_until =
             now + std::clamp(report.pause.value_or(longest), table.policy.least_refusal_pause, longest);
         used->refused_priority = report.priority;
+        used->refused_past_goal = report.past_goal;
         return;
     }
     const double sample = result == try_result::answered ? 0.0 : 1.0;
--- a/lib/machine/call_headers.cpp
+++ b/lib/machine/call_headers.cpp
@@ -84,12 +84,16 @@
     return std::nullopt;
 }
 
-time_point read_deadline(const std::vector<http_header>& headers, milliseconds limit, time_point now) {
+std::optional<milliseconds> read_patience(const std::vector<http_header>& headers) {
     const std::string text = header_value(headers, call_header::deadline_ms);
-    std::int64_t left = limit.count();
+    std::int64_t left = 0;
     const auto result = std::from_chars(text.data(), text.data() + text.size(), left);
     const bool is_good = !text.empty() && result.ec == std::errc{} && result.ptr == text.data() + text.size();
-    return now + (is_good ? std::min(limit, milliseconds(std::max<std::int64_t>(left, 0))) : limit);
+    return is_good ? std::optional(milliseconds(std::max<std::int64_t>(left, 0))) : std::nullopt;
+}
+
+time_point read_deadline(const std::vector<http_header>& headers, milliseconds limit, time_point now) {
+    return now + std::min(limit, read_patience(headers).value_or(limit));
 }
 
 std::vector<http_header> error_headers(error_kind kind, outcome result) {
--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -4,6 +4,7 @@
 
 #include "call_state.h"
 #include "waxwingfall/call/call_decisions.h"
+#include "waxwingfall/call/placement.h"
 #include "waxwingfall/contract/snapshot.h"
 
 namespace waxwingfall {
@@ -84,6 +85,12 @@
     started.non_idempotent = runs_once(*started.route, started.received.method);
     started.max_attempts =
         started.route->max_attempts != 0 ? started.route->max_attempts : started.service->max_attempts;
+    started.first_received = started.received_at;
+    if (const auto patience = read_patience(started.received.request.headers)) {
+        started.given_up_at = now + *patience;
+        started.first_received =
+            first_received(returns_, started.received.fingerprint, *started.given_up_at, started.received_at);
+    }
     if (now >= started.deadline) {
         fail(id, error_kind::deadline_exceeded);
         return;
@@ -188,8 +195,38 @@
                         .messages);
 }
 
+void call_proxy::note_unserved(const call& ended) {
+    if (ended.given_up_at) {
+        waxwingfall::note_unserved(returns_, ended.received.fingerprint,
+                                   {ended.first_received, *ended.given_up_at}, monotonic_now());
+    }
+}
+
+std::optional<milliseconds> call_proxy::goal_left(const call& open, time_point now) const {
+    if (open.route == nullptr || open.route->goal_ms == 0) {
+        return std::nullopt;
+    }
+    const auto left = elapsed_ms(now, open.first_received + milliseconds(open.route->goal_ms));
+    return milliseconds(std::max<std::int64_t>(0, left));
+}
+
+double call_proxy::retry_after_s(const call& refused) {
+    const time_point now = monotonic_now();
+    return_question question;
+    if (refused.service != nullptr) {
+        question.run_time = typical_run(node_.routing, refused.service->name, now);
+    }
+    question.goal_left = goal_left(refused, now).value_or(milliseconds(0));
+    const time_point end = refused.given_up_at.value_or(refused.deadline);
+    question.time_left = milliseconds(std::max<std::int64_t>(0, elapsed_ms(now, end)));
+    return waxwingfall::retry_after_s(question, node_.random);
+}
+
 void call_proxy::finish(std::uint64_t id) {
     call& finished = *calls_.at(id);
+    if (finished.worker_failed) {
+        note_unserved(finished);
+    }
     settle(finished, static_cast<std::uint32_t>(record_state::done));
     if (!finished.begun) {
         begin_answer(finished);
@@ -220,12 +257,12 @@
             headers.push_back({"Connection", "close"});
         }
         if (row.http_status == status_unavailable && result == outcome::not_run) {
-            headers.push_back({platform::header::retry_after,
-                               std::to_string(retry_after_s(milliseconds(0), node_.random))});
+            headers.push_back({platform::header::retry_after, std::to_string(retry_after_s(failed))});
         }
         if (kind == error_kind::malformed_request && !node_.leaving) {
             headers.push_back({"Connection", "close"});
         }
+        note_unserved(failed);
         failed.caller->reply(row.http_status, error_body(kind, result), headers);
     }
     remove(id);
--- a/lib/machine/call_state.h
+++ b/lib/machine/call_state.h
@@ -34,6 +34,8 @@
     std::vector<http_header> answer_headers;
     std::string held_body; ///< of an answer that is not on its way yet
     time_point received_at;
+    time_point first_received;             ///< by the client's first attempt, as far as this node knows
+    std::optional<time_point> given_up_at; ///< when the client stops waiting, if it said so
     time_point deadline;
     std::optional<idempotency_key> key;
     std::uint64_t attempt = 0; ///< of the claim; 0 without one
@@ -44,8 +46,9 @@
     member_id endpoint = 0;
     std::uint64_t upstream = 0;
     bool trying = false;
-    bool refused = false; ///< the worker's node refused this try
-    bool crashed = false; ///< the worker's node saw the worker crash under this try
+    bool refused = false;   ///< the worker's node refused this try
+    bool past_goal = false; ///< when this try began
+    bool crashed = false;   ///< the worker's node saw the worker crash under this try
     error_kind refusal = error_kind::overloaded;
     endpoint_report report;
     int status = 0;
--- a/lib/machine/call_tries.cpp
+++ b/lib/machine/call_tries.cpp
@@ -59,6 +59,7 @@
     tried.worker_failed = false;
     tried.trying = true;
     tried.report = {};
+    tried.past_goal = goal_left(tried, now) == milliseconds(0);
     const bool is_retry = !tried.tried.empty();
     tried.tried.push_back(*endpoint);
     log_placement(tried, now);
@@ -71,9 +72,9 @@
     set_header(sent.headers, platform::header::caller_service, node_.settings.service);
     set_header(sent.headers, call_header::service, service);
     set_header(sent.headers, call_header::priority, std::to_string(tried.route->priority));
-    if (tried.route->goal_ms != 0) {
-        const auto goal_left = elapsed_ms(now, tried.received_at + milliseconds(tried.route->goal_ms));
-        set_header(sent.headers, call_header::goal_ms, std::to_string(std::max<std::int64_t>(0, goal_left)));
+    const auto goal = goal_left(tried, now);
+    if (goal) {
+        set_header(sent.headers, call_header::goal_ms, std::to_string(goal->count()));
     }
     if (is_retry || tried.inside_retry) {
         set_header(sent.headers, call_header::retry_attempt, std::to_string(tried.tried.size()));
@@ -99,14 +100,15 @@
         return pick_endpoint(node_.routing, service, placed.tried, now, node_.random);
     }
     const placement_question question{service, placed.tried, placed.route->priority,
-                                      placed.route->kind == request_kind::download};
+                                      placed.route->kind == request_kind::download,
+                                      goal_left(placed, now) == milliseconds(0)};
     return place_call(node_.routing, question, now, node_.random);
 }
 
 void call_proxy::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     call& answered = *calls_.at(id);
     answered.report = {number_in(headers, call_header::load), number_in(headers, call_header::mean_run_ms),
-                       answered.route->priority, std::nullopt};
+                       answered.route->priority, std::nullopt, answered.past_goal};
     if (const auto pause = number_in(headers, call_header::pause_ms)) {
         answered.report.pause = milliseconds(static_cast<std::int64_t>(*pause));
     }
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -18,11 +18,12 @@
 /// How urgent a request is, by what the caller's node says of it.
 waiting_request read_urgency(evhttp_request* raw, std::uint64_t id, time_point deadline, time_point now) {
     const auto number = [&](const char* name) { return whole_number(request_header(raw, name)); };
-    waiting_request waiting{id, deadline, number(call_header::priority).value_or(0), std::nullopt};
+    waiting_request waiting{id, deadline, number(call_header::priority).value_or(0), std::nullopt, false};
     const auto goal = number(call_header::goal_ms);
     // The most urgent requests are calls of requests that already run: late is better than not at all.
     if (goal && waiting.priority > 0) {
-        waiting.goal = now + milliseconds(*goal);
+        waiting.past_goal = *goal == 0;
+        waiting.goal = waiting.past_goal ? std::nullopt : std::optional(now + milliseconds(*goal));
     }
     return waiting;
 }
--- /dev/null
+++ b/unittests/call/played_service.h
@@ -0,0 +1,145 @@
+#ifndef WAXWINGFALL_UNITTESTS_CALL_PLAYED_SERVICE_H
+#define WAXWINGFALL_UNITTESTS_CALL_PLAYED_SERVICE_H
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "waxwingfall/call/admission.h"
+#include "waxwingfall/call/call_decisions.h"
+#include "waxwingfall/call/return_watch.h"
+#include "waxwingfall/support/random_source.h"
+
+namespace waxwingfall {
+
+/// A load of one kind of request on one worker.
+struct played_load {
+    std::uint64_t requests_per_s = 0;
+    milliseconds mean_run{200}; ///< runs last from half of that to one and a half
+    milliseconds goal{600};
+    milliseconds deadline{2500};
+    int retries = 1; ///< of a refused client
+    std::uint32_t priority = 2;
+};
+
+/// What the clients of a load got.
+struct played_outcome {
+    int sent = 0;
+    int in_time = 0; ///< counted from the first attempt
+    int late = 0;
+    int refused = 0; ///< for good
+    double share_in_time() const { return static_cast<double>(in_time) / std::max(1, sent); }
+    double share_served() const { return static_cast<double>(in_time + late) / std::max(1, sent); }
+};
+
+/// Plays loads against the admission of one worker, with clients that come back when they are told to.
+class played_service {
+public:
+    /// Without a watch the latency objective starts anew with each attempt.
+    played_service(std::uint32_t slots, bool watches_returns)
+        : watches_returns_(watches_returns), random_(7) {
+        admission_.slots = slots;
+        admission_.queue_limit = 4 * slots;
+        admission_.mean_run_ms = 200;
+    }
+
+    played_outcome play(const played_load& load, milliseconds length) {
+        for (milliseconds at{0}; at < length; at += milliseconds(1)) {
+            constexpr std::uint64_t ms_per_s = 1000;
+            if (random_below(random_, ms_per_s) < load.requests_per_s) {
+                const std::uint64_t id = next_id_++;
+                requests_.emplace(id, client{load, time_point() + at, load.retries});
+                events_.emplace(time_point() + at, [this, id] { attempt(id); });
+            }
+        }
+        while (!events_.empty()) {
+            now_ = events_.begin()->first;
+            const auto event = events_.begin()->second;
+            events_.erase(events_.begin());
+            event();
+        }
+        return outcome_;
+    }
+
+private:
+    struct client {
+        played_load load;
+        time_point first_sent;
+        int retries_left = 0;
+    };
+
+    void attempt(std::uint64_t id) {
+        const client& sender = requests_.at(id);
+        const time_point deadline = sender.first_sent + sender.load.deadline;
+        const std::string fingerprint = std::to_string(id);
+        const time_point first =
+            watches_returns_ ? first_received(returns_, fingerprint, deadline, now_) : now_;
+        const time_point goal = first + sender.load.goal;
+        outcome_.sent += sender.retries_left == sender.load.retries ? 1 : 0;
+        waiting_request request{id, deadline, sender.load.priority, goal};
+        if (now_ >= goal) {
+            request.goal = std::nullopt;
+            request.past_goal = true;
+        }
+        const admission_verdict verdict = admit(admission_, request, now_);
+        take(review_queue(admission_, now_));
+        if (verdict == admission_verdict::run) {
+            run(id);
+        } else if (verdict != admission_verdict::wait) {
+            refuse(id);
+        }
+    }
+
+    void run(std::uint64_t id) {
+        const auto mean = static_cast<std::uint64_t>(requests_.at(id).load.mean_run.count());
+        const milliseconds length(static_cast<std::int64_t>(mean / 2 + random_below(random_, mean)));
+        events_.emplace(now_ + length, [this, id, length] {
+            const client& served = requests_.at(id);
+            const bool is_timely = now_ - served.first_sent <= served.load.goal;
+            outcome_.in_time += is_timely ? 1 : 0;
+            outcome_.late += is_timely ? 0 : 1;
+            take(release_slot(admission_, length, now_, served.load.priority));
+        });
+    }
+
+    void take(const admission_turn& turn) {
+        std::for_each(turn.run.begin(), turn.run.end(), [this](std::uint64_t id) { run(id); });
+        std::for_each(turn.expired.begin(), turn.expired.end(), [this](std::uint64_t id) { refuse(id); });
+    }
+
+    void refuse(std::uint64_t id) {
+        client& refused = requests_.at(id);
+        if (refused.retries_left-- == 0) {
+            outcome_.refused += 1;
+            return;
+        }
+        const time_point deadline = refused.first_sent + refused.load.deadline;
+        note_unserved(returns_, std::to_string(id), {refused.first_sent, deadline}, now_);
+        const auto left = [this](time_point end) {
+            return milliseconds(std::max<std::int64_t>(0, elapsed_ms(now_, end)));
+        };
+        const milliseconds goal_left =
+            watches_returns_ ? left(refused.first_sent + refused.load.goal) : milliseconds(0);
+        const return_question question{refused.load.mean_run, goal_left, left(deadline)};
+        constexpr double ms_per_s = 1000.0;
+        const milliseconds pause(static_cast<std::int64_t>(retry_after_s(question, random_) * ms_per_s));
+        events_.emplace(now_ + pause, [this, id] { attempt(id); });
+    }
+
+    bool watches_returns_;
+    random_source random_;
+    admission admission_;
+    return_watch returns_;
+    time_point now_;
+    std::uint64_t next_id_ = 1;
+    std::map<std::uint64_t, client> requests_;
+    std::multimap<time_point, std::function<void()>> events_;
+    played_outcome outcome_;
+};
+
+} // namespace waxwingfall
+
+#endif
