--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -23,6 +23,13 @@
     auto operator<=>(const waiting_request&) const = default;
 };
 
+/// How long runs take: their mean and their mean deviation from it, exponentially weighted.
+struct run_time {
+    double mean_ms = 0;
+    double deviation_ms = 0;
+    auto operator<=>(const run_time&) const = default;
+};
+
 /// The worker's slots as the node beside it counts them, with a short queue. Its refusal proves that a
 /// request did not run. It answers load beyond the worker's capacity: urgent requests start first and
 /// displace others, and whoever can't be answered in time is refused on arrival instead of waiting in vain.
@@ -36,7 +43,7 @@
     std::vector<std::uint64_t> displaced; ///< by more urgent requests, to be refused with the next turn
     std::uint32_t starts_since_least = 0; ///< turns since the least urgent request was last preferred
     double mean_run_ms = 0;               ///< of all runs, exponentially weighted
-    std::map<std::uint32_t, double> mean_run_ms_of; ///< the same by priority
+    std::map<std::uint32_t, run_time> run_time_of; ///< by priority
     bool leaving = false;
 };
 
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -1,6 +1,7 @@
 #include "waxwingfall/call/admission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace waxwingfall {
@@ -16,9 +17,18 @@
 /// overtake it, so a longer wait would mostly end in a refusal.
 constexpr milliseconds longest_late_wait{100};
 
+/// Deviations of a run from its mean that a request must have room for: with none, half of those that are
+/// admitted last end late, and the queue holds them instead of requests that can still be answered in time.
+constexpr double spare_deviations = 1;
+
 double run_ms_of(const admission& state, std::uint32_t priority) {
-    const auto known = state.mean_run_ms_of.find(priority);
-    return known == state.mean_run_ms_of.end() ? state.mean_run_ms : known->second;
+    const auto known = state.run_time_of.find(priority);
+    return known == state.run_time_of.end() ? state.mean_run_ms : known->second.mean_ms;
+}
+
+double spare_ms_of(const admission& state, std::uint32_t priority) {
+    const auto known = state.run_time_of.find(priority);
+    return known == state.run_time_of.end() ? 0 : known->second.deviation_ms * spare_deviations;
 }
 
 /// When a request with the first `ahead` waiting ones before it would end, by the means of past runs.
@@ -29,7 +39,8 @@
     for (std::size_t index = 0; index < std::min(ahead, state.waiting.size()); ++index) {
         work += run_ms_of(state, state.waiting[index].priority);
     }
-    const double ms = work / std::max(1U, state.slots) + run_ms_of(state, request.priority);
+    const double ms = work / std::max(1U, state.slots) + run_ms_of(state, request.priority) +
+                      spare_ms_of(state, request.priority);
     return now + milliseconds(static_cast<std::int64_t>(ms));
 }
 
@@ -38,7 +49,8 @@
     if (!request.past_goal) {
         return request.goal.value_or(request.deadline);
     }
-    const milliseconds run(static_cast<std::int64_t>(run_ms_of(state, request.priority)));
+    const milliseconds run(
+        static_cast<std::int64_t>(run_ms_of(state, request.priority) + spare_ms_of(state, request.priority)));
     return std::min(request.deadline, now + longest_late_wait + run);
 }
 
@@ -139,7 +151,11 @@
     state.running -= std::min(state.running, 1U);
     const auto sample = static_cast<double>(ran.count());
     learn(state.mean_run_ms, sample);
-    learn(state.mean_run_ms_of[priority], sample);
+    run_time& known = state.run_time_of[priority];
+    if (known.mean_ms > 0) {
+        learn(known.deviation_ms, std::abs(sample - known.mean_ms));
+    }
+    learn(known.mean_ms, sample);
     return review_queue(state, now);
 }
 
