--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -19,7 +19,7 @@
 
 /// Deviations of a run from its mean that a request must have room for: with none, half of those that are
 /// admitted last end late, and the queue holds them instead of requests that can still be answered in time.
-constexpr double spare_deviations = 1;
+constexpr double spare_deviations = 2;
 
 double run_ms_of(const admission& state, std::uint32_t priority) {
     const auto known = state.run_time_of.find(priority);
