Large services: a few preferred endpoints, three tries, and a share of the link for large answers

Change: of a data centre with over eight endpoints a node prefers eight; three tries at most; unsafe requests wait 1.5 s for the acknowledgement; a token share of the link bounds downloads; watches are 0.5 s apart; cheaper log lines.

--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -59,9 +59,15 @@
     bool inside_retry = false; ///< the call serves a call that is itself a retry
     time_point deadline;
     bool quarantined = false; ///< the request has crashed too many workers, this call's tries included
+    std::size_t sent = 0;     ///< tries in all, those that nodes refused included
     auto operator<=>(const retry_question&) const = default;
 };
 
+/// Tries of one call at most, refused ones included. Each costs both nodes as much as a served call, so under
+/// overload of a large service calls that ask everyone use up the processor time of calls that could be
+/// served. Four draws among the emptiest miss a free slot rarely.
+inline constexpr std::size_t most_tries = 3;
+
 /// True if the call's limits leave room for another try; the budget is asked apart.
 bool may_try_again(const retry_question& question, time_point now);
 
--- a/include/waxwingfall/call/routing.h
+++ b/include/waxwingfall/call/routing.h
@@ -67,6 +67,7 @@
     std::map<std::string, std::map<member_id, endpoint>> services;
     std::map<std::string, std::uint64_t> turns;         ///< of the round robin rule
     std::map<std::string, time_point> cut_data_centres; ///< none of whose endpoints is tried before that time
+    member_id self = 0;                                 ///< this node
     std::string data_centre;                            ///< of this node
     std::string region;
 };
--- a/include/waxwingfall/machine/call_headers.h
+++ b/include/waxwingfall/machine/call_headers.h
@@ -29,6 +29,7 @@
 inline constexpr const char* priority = "X-Waxwingfall-Priority"; ///< between nodes: that of the route
 inline constexpr const char* goal_ms =
     "X-Waxwingfall-Goal-Ms"; ///< between nodes: what is left of the latency objective, 0 if it is missed
+inline constexpr const char* large_answer = "X-Waxwingfall-Large-Answer"; ///< between nodes: of a download
 inline constexpr const char* pause_ms =
     "X-Waxwingfall-Pause-Ms"; ///< between nodes: when a request like the refused one may be taken
 inline constexpr const char* replayed = "X-Waxwingfall-Replayed"; ///< the answer of an earlier run
--- a/include/waxwingfall/machine/platform_agent.h
+++ b/include/waxwingfall/machine/platform_agent.h
@@ -35,6 +35,7 @@
 
 private:
     struct watch_state {
+        milliseconds spacing{0}; ///< between the end of a watch and the next one
         bool waiting = false;
         std::uint64_t revision = 0;     ///< of the store, from which the next watch goes on
         std::uint64_t key_revision = 0; ///< of the key's last known change
--- a/include/waxwingfall/machine/settings.h
+++ b/include/waxwingfall/machine/settings.h
@@ -46,6 +46,7 @@
     std::string log_path;
     std::uint32_t max_body_bytes = 1'048'576;
     std::uint32_t max_header_bytes = 16'384;
+    double link_mbps = 0;                ///< of the machine, in megabits a second; 0 if it is not known
     milliseconds caller_timeout{10'000}; ///< for a caller to send its request or to take its answer
     milliseconds leave_notice{
         2000}; ///< after the notice that it leaves, a node still admits work for so long
--- a/include/waxwingfall/machine/worker_gate.h
+++ b/include/waxwingfall/machine/worker_gate.h
@@ -11,6 +11,7 @@
 
 #include "waxwingfall/call/admission.h"
 #include "waxwingfall/call/crash_watch.h"
+#include "waxwingfall/call/link_share.h"
 #include "waxwingfall/machine/call_headers.h"
 #include "waxwingfall/machine/downstream.h"
 #include "waxwingfall/machine/node_context.h"
@@ -69,6 +70,7 @@
 
     node_context& node_;
     admission admission_;
+    link_share link_;
     std::deque<admission_turn> turns_; ///< decided and not carried out
     upstream_pool worker_;
     std::map<std::uint64_t, std::unique_ptr<request>> requests_;
--- a/lib/call/call_decisions.cpp
+++ b/lib/call/call_decisions.cpp
@@ -88,7 +88,7 @@
 
 bool may_try_again(const retry_question& question, time_point now) {
     return question.reached < question.max_attempts && now < question.deadline && !question.inside_retry &&
-           !question.quarantined;
+           !question.quarantined && question.sent < most_tries;
 }
 
 } // namespace waxwingfall
--- a/lib/call/placement.cpp
+++ b/lib/call/placement.cpp
@@ -27,6 +27,14 @@
 /// when its own data centre can't serve it.
 constexpr double large_crossing_ms = 2000;
 
+/// Endpoints of the own data centre that a node prefers if there are more. Each then hears from it often
+/// enough to keep a connection open, and answers often enough for their load to be known: a node of the grown
+/// deployments sends some 20 calls a second, and a report counts for two seconds.
+constexpr std::size_t preferred_endpoints = 8;
+
+/// What an endpoint beyond those costs: a connection, and a load that is not known. About half a run.
+constexpr double beyond_preferred_ms = 100;
+
 /// Share by which expected times are varied, so that nodes with the same news do not all pick the same
 /// endpoint.
 constexpr double variation = 0.2;
@@ -64,6 +72,52 @@
     return known == 0 ? default_run_ms : sum / known;
 }
 
+/// The endpoints that a node prefers among many of its data centre: successive ones in the order of ids, from
+/// a place that depends on the node's own place among all, so that each endpoint is preferred by equally
+/// many.
+class preferred_range {
+public:
+    preferred_range(const routing_table& table, const std::map<member_id, endpoint>& group)
+        : table_(table), count_(count_near(group, ~member_id{0})) {
+        if (count_ <= preferred_endpoints) {
+            return;
+        }
+        std::size_t before = 0;
+        std::size_t all = 0;
+        for (const auto& [service, others] : table.services) {
+            before += count_near(others, table.self);
+            all += count_near(others, ~member_id{0});
+        }
+        first_ = before * count_ / all;
+    }
+
+    /// True if a call may go there without further cost. Asked once for each endpoint, in the order of ids.
+    bool takes_next(const endpoint& candidate) {
+        if (count_ <= preferred_endpoints) {
+            return true;
+        }
+        if (candidate.data_centre != table_.data_centre) {
+            return false;
+        }
+        const std::size_t place = (index_++ + count_ - first_ % count_) % count_;
+        return place < preferred_endpoints;
+    }
+
+private:
+    std::size_t count_near(const std::map<member_id, endpoint>& group, member_id below) const {
+        std::size_t found = 0;
+        for (const auto& [id, each] : group) {
+            found += id < below && each.data_centre == table_.data_centre ? 1 : 0;
+        }
+        return found;
+    }
+
+    const routing_table& table_;
+    std::size_t count_;
+    std::size_t first_ = 0;
+    std::size_t index_ = 0;
+};
+
 /// Milliseconds until a call would be answered by an endpoint, with what its failures and its distance cost.
 double expected_finish_ms(const routing_table& table, const endpoint& candidate, double typical_run,
                           bool large_answer, time_point now) {
@@ -115,7 +169,9 @@
     const double typical_run = typical_run_ms(table, group->second, now);
     std::optional<member_id> best;
     double least = std::numeric_limits<double>::max();
+    preferred_range preferred(table, group->second);
     for (const auto& [id, candidate] : group->second) {
+        const double beyond = preferred.takes_next(candidate) ? 0 : beyond_preferred_ms;
         const bool was_tried =
             std::find(question.tried.begin(), question.tried.end(), id) != question.tried.end();
         if (was_tried || is_cut_off(table, candidate, now) || refuses(candidate, question, now)) {
@@ -125,7 +181,7 @@
         const double factor =
             1 + variation * static_cast<double>(random_below(random, steps)) / static_cast<double>(steps);
         const double expected =
-            expected_finish_ms(table, candidate, typical_run, question.large_answer, now) * factor;
+            (expected_finish_ms(table, candidate, typical_run, question.large_answer, now) + beyond) * factor;
         if (expected < least) {
             least = expected;
             best = id;
--- a/lib/machine/call_tries.cpp
+++ b/lib/machine/call_tries.cpp
@@ -18,6 +18,9 @@
 /// For a worker's node to say that it has read a request. Round trips take 8 ms at most; a node with a fifth
 /// of a core needs some 50 ms to come to a request under load.
 constexpr milliseconds hop_acknowledgement{400};
+/// The same for a request that can't be repeated, so that giving up gains the caller nothing but time: longer
+/// than nodes of a tenth of a core lag under load (0.3 s, and more while they wait for the link).
+constexpr milliseconds patient_acknowledgement{1500};
 
 std::optional<double> number_in(const std::vector<http_header>& headers, const char* name) {
     const auto number = whole_number(header_value(headers, name));
@@ -76,6 +79,9 @@
     if (goal) {
         set_header(sent.headers, call_header::goal_ms, std::to_string(goal->count()));
     }
+    if (tried.route->kind == request_kind::download) {
+        set_header(sent.headers, call_header::large_answer, "1");
+    }
     if (is_retry || tried.inside_retry) {
         set_header(sent.headers, call_header::retry_attempt, std::to_string(tried.tried.size()));
     }
@@ -90,7 +96,7 @@
     const auto address = parse_address(reached);
     upstream_options options;
     options.timeout = milliseconds(left) + deadline_margin;
-    options.acknowledged_within = hop_acknowledgement;
+    options.acknowledged_within = tried.non_idempotent ? patient_acknowledgement : hop_acknowledgement;
     tried.upstream = workers_.send(address.value_or(ip_address{}), sent, options, std::move(callbacks));
 }
 
@@ -250,8 +256,12 @@
 }
 
 bool call_proxy::may_retry(call& failed, std::size_t reached, time_point now) {
-    const retry_question question{reached, failed.max_attempts, failed.inside_retry, failed.deadline,
-                                  is_quarantined(node_.crashes, failed.received.fingerprint, now)};
+    const retry_question question{reached,
+                                  failed.max_attempts,
+                                  failed.inside_retry,
+                                  failed.deadline,
+                                  is_quarantined(node_.crashes, failed.received.fingerprint, now),
+                                  failed.tried.size()};
     if (!may_try_again(question, now)) {
         return false;
     }
--- a/lib/machine/gate_request.h
+++ b/lib/machine/gate_request.h
@@ -19,6 +19,8 @@
     std::uint64_t upstream = 0;
     bool running = false;
     bool worker_refused = false;
+    bool large_answer = false; ///< has its part of the link
+    std::size_t answer_bytes = 0;
     waiting_request urgency;
 };
 
--- a/lib/machine/node_context.cpp
+++ b/lib/machine/node_context.cpp
@@ -36,6 +36,7 @@
     records.life = random() | 1U;
     worker.address = to_string(node_settings.worker);
     routing.policy = settings.routing;
+    routing.self = control.nodes.self.id;
     routing.data_centre = settings.data_centre;
     routing.region = settings.region;
     update_endpoint(routing, control.nodes.self, monotonic_now());
--- a/lib/machine/platform_agent.cpp
+++ b/lib/machine/platform_agent.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds watch_wait{30'000};
 constexpr milliseconds first_backoff{300};
 constexpr milliseconds backoff_limit{5'000};
+/// Between the end of a watch and the next one: versions that follow closely are then read with one call. A
+/// quarter of the shortest time in which a configuration has to be in force (2 s).
+constexpr milliseconds watch_spacing{500};
 constexpr milliseconds seed_lease{15'000};
 constexpr milliseconds seed_renewal{5'000};
 constexpr milliseconds first_seed_look{300};
@@ -40,6 +43,8 @@
     next_renewal_ = now;
     next_plan_ = now;
     next_report_ = now;
+    head_.spacing =
+        node.settings.source == configuration_source::operator_key ? watch_spacing : milliseconds(0);
     last_report_ = now;
 }
 
@@ -135,6 +140,7 @@
         }
         state.backoff = milliseconds(0);
         state.revision = answer.store_revision;
+        state.next_try = monotonic_now() + jittered(state.spacing, node_.random);
         if (answer.status == store_status::ok || answer.status == store_status::absent) {
             state.key_revision = answer.value.revision;
             (this->*take)(answer);
--- a/lib/machine/settings.cpp
+++ b/lib/machine/settings.cpp
@@ -1,6 +1,7 @@
 #include "waxwingfall/machine/settings.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <boost/leaf/error.hpp>
 
@@ -76,10 +77,23 @@
     settings.probe_period = read_ms(reader, worker, "probe_period_ms", 100, settings.probe_period);
 }
 
+/// The rate of the machine's link, a decimal number; 0 if it is not stated.
+double read_link_rate(yaml_reader& reader, const yaml_value& limits) {
+    const std::string text = reader.text(limits, "link_mbps", false, "0");
+    double rate = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), rate);
+    if (read.ec != std::errc{} || read.ptr != text.data() + text.size() || !(rate >= 0)) {
+        reader.report(error_kind::wrong_type, *reader.child(limits, "link_mbps", false),
+                      "'link_mbps' must be a number of megabits a second");
+        return 0;
+    }
+    return rate;
+}
+
 void read_limits(yaml_reader& reader, const yaml_value& limits, node_settings& settings) {
     if (!reader.expect_map(limits, "'limits'",
                            {"max_body_bytes", "max_header_bytes", "caller_timeout_ms", "leave_notice_ms",
-                            "leave_timeout_ms", "drain_ms"})) {
+                            "link_mbps", "leave_timeout_ms", "drain_ms"})) {
         return;
     }
     settings.max_body_bytes =
@@ -88,6 +102,7 @@
         reader.number(limits, "max_header_bytes", min_body_bytes, max_body_limit, settings.max_header_bytes);
     settings.caller_timeout = read_ms(reader, limits, "caller_timeout_ms", 100, settings.caller_timeout);
     settings.leave_notice = read_ms(reader, limits, "leave_notice_ms", 0, settings.leave_notice);
+    settings.link_mbps = read_link_rate(reader, limits);
     settings.leave_timeout = read_ms(reader, limits, "leave_timeout_ms", 100, settings.leave_timeout);
     settings.drain = read_ms(reader, limits, "drain_ms", 0, settings.drain);
 }
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -15,6 +15,10 @@
 constexpr std::uint32_t default_queue = 24;
 constexpr int first_failure_status = 400;
 
+bool is_large_answer(evhttp_request* raw) {
+    return whole_number(request_header(raw, call_header::large_answer)).value_or(0) != 0;
+}
+
 /// How urgent a request is, by what the caller's node says of it.
 waiting_request read_urgency(evhttp_request* raw, std::uint64_t id, time_point deadline, time_point now) {
     const auto number = [&](const char* name) { return whole_number(request_header(raw, name)); };
@@ -31,7 +35,7 @@
 } // namespace
 
 worker_gate::worker_gate(node_context& node)
-    : node_(node), worker_(node.loop, connection_reuse),
+    : node_(node), link_(share_of_link(node.settings.link_mbps)), worker_(node.loop, connection_reuse),
       server_(node.loop, node.settings.inbound, [this](evhttp_request* raw) { receive(raw); }),
       sweep_(loop_event::every(node.loop, sweep_period, [this] { sweep(); })),
       probe_(node.settings.heartbeats
@@ -99,6 +103,12 @@
         refuse(id, refusal);
         return;
     }
+    const bool crosses_link = is_large_answer(raw);
+    if (crosses_link && !take_large_answer(link_, now)) {
+        refuse(id, error_kind::overloaded);
+        return;
+    }
+    requests_.at(id)->large_answer = crosses_link;
     const admission_verdict verdict = admit(admission_, waiting, now);
     if (!admission_.displaced.empty()) {
         apply(review_queue(admission_, now));
@@ -180,6 +190,7 @@
 
 void worker_gate::on_data(std::uint64_t id, evbuffer* data) {
     request& running = *requests_.at(id);
+    running.answer_bytes += evbuffer_get_length(data);
     const std::uint64_t upstream = running.upstream;
     const bool is_full = running.caller->write(data, [this, upstream] { worker_.resume(upstream); });
     if (is_full) {
@@ -267,6 +278,9 @@
     const std::unique_ptr<request> removed = std::move(found->second);
     requests_.erase(found);
     const time_point now = monotonic_now();
+    if (removed->large_answer) {
+        settle_large_answer(link_, removed->answer_bytes);
+    }
     if (removed->running) {
         const milliseconds ran(std::max<std::int64_t>(1, elapsed_ms(removed->started, now)));
         apply(release_slot(admission_, ran, now, removed->urgency.priority));
--- a/lib/support/event_log.cpp
+++ b/lib/support/event_log.cpp
@@ -92,6 +92,19 @@
     }
 };
 
+/// A text in JSON. Most are plain, and quoting them here costs a fraction of a JSON value of the library.
+std::string json_text(std::string_view text) {
+    const bool is_plain = std::all_of(text.begin(), text.end(), [](char each) {
+        constexpr char first_printable = ' ';
+        constexpr char last_ascii = '~';
+        return each >= first_printable && each <= last_ascii && each != '"' && each != '\\';
+    });
+    if (is_plain) {
+        return "\"" + std::string(text) + "\"";
+    }
+    return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 const event_row& row_of(event_id id) {
     const auto found =
         std::find_if(catalogue.begin(), catalogue.end(), [id](const event_row& row) { return row.id == id; });
@@ -114,17 +127,14 @@
 
 std::string format_event(const event_row& row, std::string_view process, wall_ms now, std::uint64_t clock,
                          const std::vector<event_field>& fields) {
-    nlohmann::ordered_json line;
-    line["time"] = now;
-    line["clock"] = clock;
-    line["process"] = process;
-    line["event"] = static_cast<int>(row.id);
-    line["name"] = row.name;
-    line["level"] = row.level;
+    std::string line = "{\"time\":" + std::to_string(now) + ",\"clock\":" + std::to_string(clock) +
+                       ",\"process\":" + json_text(process) +
+                       ",\"event\":" + std::to_string(static_cast<int>(row.id)) +
+                       ",\"name\":" + json_text(row.name) + ",\"level\":" + json_text(row.level);
     for (const event_field& field : fields) {
-        line[field.name] = field.value;
+        line += "," + json_text(field.name) + ":" + json_text(field.value);
     }
-    return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    return line + "}";
 }
 
 event_log::event_log(std::string process, const std::string& path) : process_(std::move(process)) {
@@ -157,7 +167,9 @@
 
 void event_log::write_line(const event_row& row, wall_ms now, const std::vector<event_field>& fields) {
     const std::string line = format_event(row, process_, now, tick_clock(clock_, now), fields);
-    log4cxx::Logger::getRootLogger()->log(level_of(row), line);
+    // Looking the logger up by each line costs as much as writing it.
+    static const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+    root->log(level_of(row), line);
 }
 
 } // namespace waxwingfall
--- a/unittests/call/placement_test.cpp
+++ b/unittests/call/placement_test.cpp
@@ -1,7 +1,9 @@
 #include "waxwingfall/call/placement.h"
 
+#include <array>
 #include <deque>
 #include <map>
+#include <set>
 
 #include <gtest/gtest.h>
 
@@ -237,3 +239,54 @@
     RecordProperty("late_share_by_finish", std::to_string(by_finish));
     RecordProperty("late_share_by_load", std::to_string(by_load));
 }
+
+namespace {
+
+/// Sixty workers in three data centres as one of the twenty nodes "here" sees them.
+routing_table large_table(member_id self) {
+    std::vector<member> workers;
+    const std::array<std::string, 3> places{"here", "there", "beyond"};
+    for (member_id id = 1; id <= 60; ++id) {
+        workers.push_back(worker(id, places[id % 3]));
+    }
+    routing_table table = table_of(workers);
+    table.self = self;
+    return table;
+}
+
+} // namespace
+
+TEST(Placement, ANodeOfALargeDataCentreKeepsToAFewEndpointsAndAllAreUsedEqually) {
+    std::map<member_id, int> nodes_of;
+    for (member_id self = 3; self <= 60; self += 3) {
+        routing_table table = large_table(self);
+        random_source random(self);
+        std::set<member_id> used;
+        for (int index = 0; index < 300; ++index) {
+            const member_id picked = place_call(table, question(), start, random).value();
+            used.insert(picked);
+            begin_try(table, "s", picked);
+            end_try(table, "s", picked, try_result::answered, {1, 200, 1}, start);
+        }
+        EXPECT_LE(used.size(), 8U);
+        for (const member_id id : used) {
+            nodes_of[id] += 1;
+        }
+    }
+    EXPECT_EQ(nodes_of.size(), 20U);
+    for (const auto& [id, nodes] : nodes_of) {
+        EXPECT_EQ(nodes, 8) << id;
+    }
+}
+
+TEST(Placement, CallsLeaveThePreferredEndpointsWhenTheseAreFull) {
+    routing_table table = large_table(3);
+    random_source random(1);
+    const member_id first = place_call(table, question(), start, random).value();
+    for (member_id id = 3; id <= 24; id += 3) {
+        report(table, id, 12, 200, start);
+    }
+    const member_id next = place_call(table, question(), start, random).value();
+    EXPECT_LE(first, 24U);
+    EXPECT_GT(next, 24U);
+}
--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -343,6 +343,8 @@
     EXPECT_FALSE(may_try_again({1, 3, true, later}, start));
     EXPECT_FALSE(may_try_again({3, 3, false, later}, start));
     EXPECT_FALSE(may_try_again({1, 3, false, start}, start));
+    EXPECT_TRUE(may_try_again({0, 3, false, later, false, most_tries - 1}, start));
+    EXPECT_FALSE(may_try_again({0, 3, false, later, false, most_tries}, start));
 }
 
 TEST(Quarantine, ACallThatCrashedTwoWorkersTriesNoThird) {
