--- a/include/waxwingfall/call/routing.h
+++ b/include/waxwingfall/call/routing.h
@@ -123,6 +123,10 @@
 /// its share back, because a node that starts again has its budget whole and others may not know of it yet.
 retry_budget share_of_slack(std::uint32_t slack, std::size_t nodes);
 
+/// Fits a budget to the share that one of `nodes` nodes has now: a node that has just started knows few of
+/// the others and would take too large a share for itself.
+void follow_members(retry_budget& budget, std::uint32_t slack, std::size_t nodes);
+
 /// Earns `percent` hundredths of a token for a first try.
 void earn_retry(retry_budget& budget, std::uint32_t percent);
 
--- a/lib/call/routing.cpp
+++ b/lib/call/routing.cpp
@@ -262,6 +262,11 @@
     return {limit, limit};
 }
 
+void follow_members(retry_budget& budget, std::uint32_t slack, std::size_t nodes) {
+    budget.limit = share_of_slack(slack, nodes).limit;
+    budget.tokens = std::min(budget.tokens, budget.limit);
+}
+
 void earn_retry(retry_budget& budget, std::uint32_t percent) {
     constexpr double hundred = 100.0;
     budget.tokens = std::min(budget.limit, budget.tokens + percent / hundred);
--- a/lib/machine/call_tries.cpp
+++ b/lib/machine/call_tries.cpp
@@ -268,17 +268,15 @@
 }
 
 retry_budget& call_proxy::budget_of(const std::string& service) {
-    const auto known = budgets_.find(service);
-    if (known != budgets_.end()) {
-        return known->second;
-    }
+    const std::uint32_t slack = node_.settings.retry_slack;
     const auto& members = node_.control.nodes.members;
-    const auto nodes = std::count_if(members.begin(), members.end(), [](const auto& entry) {
+    const auto living = std::count_if(members.begin(), members.end(), [](const auto& entry) {
         return entry.second.state != member_state::dead;
     });
-    return budgets_
-        .emplace(service, share_of_slack(node_.settings.retry_slack, static_cast<std::size_t>(nodes)))
-        .first->second;
+    const auto nodes = static_cast<std::size_t>(living);
+    retry_budget& budget = budgets_.try_emplace(service, share_of_slack(slack, nodes)).first->second;
+    follow_members(budget, slack, nodes);
+    return budget;
 }
 
 } // namespace waxwingfall
--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -397,3 +397,16 @@
     EXPECT_GE(acknowledgement_limit(true), 2 * seen_lag);
     EXPECT_LT(acknowledgement_limit(false), milliseconds(500));
 }
+
+// After a restart of all, a node makes its first call while it knows two of eighty others.
+TEST(Retries, ANodeThatLearnsOfOthersGivesUpTheShareThatItTookForItself) {
+    retry_budget budget = share_of_slack(200, 2);
+    follow_members(budget, 200, 80);
+    int retries = 0;
+    while (spend_retry(budget)) {
+        ++retries;
+    }
+    EXPECT_LE(retries, 200 / 80);
+    follow_members(budget, 200, 2);
+    EXPECT_FALSE(spend_retry(budget));
+}
