--- a/include/waxwingfall/standin/load.h
+++ b/include/waxwingfall/standin/load.h
@@ -55,9 +55,10 @@
     std::uint64_t refused = 0;
     std::uint64_t unknown = 0;
     std::uint64_t told_nothing = 0;
-    std::uint64_t lost = 0;            ///< told done, and no worker ran it; or told nothing
-    std::uint64_t run_twice = 0;       ///< non-idempotent, and started more than once
-    std::uint64_t refused_but_ran = 0; ///< told not run, and a worker started it
+    std::uint64_t lost = 0;                 ///< told done, and no worker ran it; or told nothing
+    std::vector<std::string> lost_requests; ///< their ids, each with what it was told last
+    std::uint64_t run_twice = 0;            ///< non-idempotent, and started more than once
+    std::uint64_t refused_but_ran = 0;      ///< told not run, and a worker started it
     std::uint64_t wrong_answers = 0;
     std::uint64_t resent = 0;
     double p50_ms = 0;
--- a/lib/standin/load.cpp
+++ b/lib/standin/load.cpp
@@ -163,19 +163,25 @@
         }
         if (request->last == told::done) {
             report.answered += 1;
-            report.lost += runs == 0 ? 1 : 0;
+            if (runs == 0) {
+                report.lost_requests.push_back(request->id + " done");
+            }
             continue;
         }
         report.reasons[request->last_reason] += 1;
         if (request->ever_unknown) {
             report.unknown += request->last != told::nothing ? 1 : 0;
             report.told_nothing += request->last == told::nothing ? 1 : 0;
-            report.lost += request->last == told::nothing ? 1 : 0;
+            if (request->last == told::nothing) {
+                report.lost_requests.push_back(request->id + " nothing after " +
+                                               std::to_string(request->sent));
+            }
             continue;
         }
         report.refused += 1;
         report.refused_but_ran += runs > 0 ? 1 : 0;
     }
+    report.lost = report.lost_requests.size();
     std::sort(latencies.begin(), latencies.end());
     report.p50_ms = percentile(latencies, 0.5);
     report.p99_ms = percentile(latencies, 0.99);
@@ -191,6 +197,7 @@
     line["unknown"] = report.unknown;
     line["told_nothing"] = report.told_nothing;
     line["lost"] = report.lost;
+    line["lost_requests"] = report.lost_requests;
     line["run_twice"] = report.run_twice;
     line["refused_but_ran"] = report.refused_but_ran;
     line["wrong_answers"] = report.wrong_answers;
--- a/utils/soak.py
+++ b/utils/soak.py
@@ -208,6 +208,7 @@
               f"verdict={'BROKEN ' + '; '.join(broken) if broken else 'kept'}", flush=True)
         if failed:
             (mesh.folder / "plan.txt").write_text("\n".join(soak.log) + "\n")
+            print(f"  report: {report}", flush=True)
             print(f"  plan and logs: {mesh.folder}", flush=True)
         return not failed
     finally:
