--- /dev/null
+++ b/unittests/call/crash_test.cpp
@@ -0,0 +1,67 @@
+#include <gtest/gtest.h>
+
+#include "waxwingfall/call/call_decisions.h"
+#include "waxwingfall/call/crash_watch.h"
+#include "waxwingfall/call/quarantine.h"
+
+using namespace waxwingfall;
+
+namespace {
+
+constexpr time_point start{};
+
+} // namespace
+
+TEST(Quarantine, NeedsTwoWorkersAndEnds) {
+    quarantine state;
+    EXPECT_TRUE(note_crash(state, "f", 1, start));
+    EXPECT_FALSE(note_crash(state, "f", 1, start));
+    EXPECT_FALSE(is_quarantined(state, "f", start));
+    EXPECT_TRUE(note_crash(state, "f", 2, start));
+    EXPECT_TRUE(is_quarantined(state, "f", start));
+    EXPECT_FALSE(is_quarantined(state, "innocent", start));
+    EXPECT_FALSE(is_quarantined(state, "f", start + state.policy.memory + milliseconds(1)));
+}
+
+TEST(Quarantine, ACallThatCrashedTwoWorkersTriesNoThird) {
+    quarantine state;
+    const time_point later = start + milliseconds(1);
+    std::size_t tried = 0;
+    do {
+        tried += 1;
+        note_crash(state, "f", tried, start);
+    } while (may_try_again({tried, 5, false, later, is_quarantined(state, "f", start)}, start));
+    EXPECT_EQ(tried, 2U);
+}
+
+TEST(CrashWatch, ARefusedProbeShowsACrash) {
+    crash_watch state;
+    EXPECT_TRUE(note_broken(state, 7));
+    EXPECT_FALSE(note_broken(state, 8));
+    const crash_finding finding = judge_probe(state, probe_result::refused);
+    EXPECT_TRUE(finding.crashed);
+    EXPECT_EQ(finding.decided, (std::vector<std::uint64_t>{7, 8}));
+    EXPECT_TRUE(note_broken(state, 9));
+}
+
+TEST(CrashWatch, AProbeLostWhileTheProcessExitsIsRepeated) {
+    crash_watch state;
+    note_broken(state, 7);
+    EXPECT_EQ(judge_probe(state, probe_result::lost), (crash_finding{false, {}, state.policy.repeat_after}));
+    EXPECT_TRUE(judge_probe(state, probe_result::refused).crashed);
+}
+
+TEST(CrashWatch, AWorkerThatNeverAnswersCountsAsCrashed) {
+    crash_watch state;
+    note_broken(state, 7);
+    for (std::uint32_t probe = 1; probe < state.policy.probes; ++probe) {
+        EXPECT_TRUE(judge_probe(state, probe_result::lost).probe_after.has_value());
+    }
+    EXPECT_TRUE(judge_probe(state, probe_result::lost).crashed);
+}
+
+TEST(CrashWatch, AWorkerThatAnswersDidNotCrash) {
+    crash_watch state;
+    note_broken(state, 7);
+    EXPECT_EQ(judge_probe(state, probe_result::answered), (crash_finding{false, {7}, std::nullopt}));
+}
--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -8,8 +8,6 @@
 
 #include "waxwingfall/call/admission.h"
 #include "waxwingfall/call/call_decisions.h"
-#include "waxwingfall/call/crash_watch.h"
-#include "waxwingfall/call/quarantine.h"
 #include "waxwingfall/call/routing.h"
 #include "waxwingfall/support/digest.h"
 
@@ -243,17 +241,6 @@
     EXPECT_EQ(state.running, 0U);
 }
 
-TEST(Quarantine, NeedsTwoWorkersAndEnds) {
-    quarantine state;
-    EXPECT_TRUE(note_crash(state, "f", 1, start));
-    EXPECT_FALSE(note_crash(state, "f", 1, start));
-    EXPECT_FALSE(is_quarantined(state, "f", start));
-    EXPECT_TRUE(note_crash(state, "f", 2, start));
-    EXPECT_TRUE(is_quarantined(state, "f", start));
-    EXPECT_FALSE(is_quarantined(state, "innocent", start));
-    EXPECT_FALSE(is_quarantined(state, "f", start + state.policy.memory + milliseconds(1)));
-}
-
 TEST(Outcomes, AKeyedRequestIsNotRunOnlyIfItsHomeSaidSo) {
     EXPECT_EQ(outcome_of(error_kind::overloaded, true, true), outcome::not_run);
     EXPECT_EQ(outcome_of(error_kind::overloaded, true, false), outcome::unknown);
@@ -347,49 +334,6 @@
     EXPECT_FALSE(may_try_again({0, 3, false, later, false, most_tries}, start));
 }
 
-TEST(Quarantine, ACallThatCrashedTwoWorkersTriesNoThird) {
-    quarantine state;
-    const time_point later = start + milliseconds(1);
-    std::size_t tried = 0;
-    do {
-        tried += 1;
-        note_crash(state, "f", tried, start);
-    } while (may_try_again({tried, 5, false, later, is_quarantined(state, "f", start)}, start));
-    EXPECT_EQ(tried, 2U);
-}
-
-TEST(CrashWatch, ARefusedProbeShowsACrash) {
-    crash_watch state;
-    EXPECT_TRUE(note_broken(state, 7));
-    EXPECT_FALSE(note_broken(state, 8));
-    const crash_finding finding = judge_probe(state, probe_result::refused);
-    EXPECT_TRUE(finding.crashed);
-    EXPECT_EQ(finding.decided, (std::vector<std::uint64_t>{7, 8}));
-    EXPECT_TRUE(note_broken(state, 9));
-}
-
-TEST(CrashWatch, AProbeLostWhileTheProcessExitsIsRepeated) {
-    crash_watch state;
-    note_broken(state, 7);
-    EXPECT_EQ(judge_probe(state, probe_result::lost), (crash_finding{false, {}, state.policy.repeat_after}));
-    EXPECT_TRUE(judge_probe(state, probe_result::refused).crashed);
-}
-
-TEST(CrashWatch, AWorkerThatNeverAnswersCountsAsCrashed) {
-    crash_watch state;
-    note_broken(state, 7);
-    for (std::uint32_t probe = 1; probe < state.policy.probes; ++probe) {
-        EXPECT_TRUE(judge_probe(state, probe_result::lost).probe_after.has_value());
-    }
-    EXPECT_TRUE(judge_probe(state, probe_result::lost).crashed);
-}
-
-TEST(CrashWatch, AWorkerThatAnswersDidNotCrash) {
-    crash_watch state;
-    note_broken(state, 7);
-    EXPECT_EQ(judge_probe(state, probe_result::answered), (crash_finding{false, {7}, std::nullopt}));
-}
-
 // Under overload of the grown deployment a worker's node came to a request after 0.7 s; given up after 0.4 s,
 // it ran although its client had been told that it failed.
 TEST(Acknowledgement, ARequestThatMayRunOnceIsNotGivenUpWhileItsNodeOnlyLags) {
--- a/utils/measure.py
+++ b/utils/measure.py
@@ -42,22 +42,7 @@
         place = number % 3
         node = mesh.add(f"n{number}", DATA_CENTRES[place], f"s{number % 78}", host=f"127.0.{10 + place}.1")
         node.policy = dict(policy)
-        node.translate = [(f"127.0.{10 + other}.", f"127.0.{100 + place * 3 + other}.")
-                          for other in range(3) if other != place]
-    pairs = []
-    for node in mesh.nodes:
-        target_place = DATA_CENTRES.index(node.data_centre)
-        for place in range(3):
-            if place == target_place:
-                continue
-            for address in (node.control, node.inbound):
-                port = address.rsplit(":", 1)[1]
-                pairs.append(f"{DATA_CENTRES[place]}>{node.data_centre} 127.0.{100 + place * 3 + target_place}.1:{port} {address}")
-    path = mesh.folder / "links"
-    path.write_text("\n".join(pairs) + "\n")
-    mesh.link_control = f"127.0.0.1:{free_port('127.0.0.1')}"
-    mesh.links.append(Process([BUILD / "standin-link", mesh.link_control, path, "--delay-ms", LINK_DELAY_MS],
-                              mesh.folder / "stand-ins.err").start())
+    mesh.start_links(LINK_DELAY_MS)
     mesh.share_hints()
     return mesh
 
--- a/utils/mesh.py
+++ b/utils/mesh.py
@@ -203,6 +203,30 @@
         self.nodes.append(node)
         return node
 
+    def start_links(self, delay_ms, to_platform=False):
+        """Puts the link stand-in between the data centres, and between each and the platform if asked. Nodes of the
+        data centre at place N have the host 127.0.(10 + N).1; `link_control` tells the links what to do."""
+        places = {node.data_centre: int(node.host.split(".")[2]) - 10 for node in self.nodes}
+        names = sorted(places, key=places.get)
+        pairs = []
+        for node in self.nodes:
+            home = places[node.data_centre]
+            others = [name for name in names if name != node.data_centre]
+            node.translate = [(f"127.0.{10 + places[name]}.", f"127.0.{100 + home * 3 + places[name]}.")
+                              for name in others]
+            for name in others:
+                for address in (node.control, node.inbound):
+                    port = address.rsplit(":", 1)[1]
+                    pairs.append(f"{name}>{node.data_centre} 127.0.{100 + places[name] * 3 + home}.1:{port} {address}")
+        for name in names if to_platform else ():
+            self.platform_overrides[name] = f"127.0.0.1:{free_port('127.0.0.1')}"
+            pairs.append(f"store>{name} {self.platform_overrides[name]} {self.platform_address}")
+        path = self.folder / "links"
+        path.write_text("\n".join(pairs) + "\n")
+        self.link_control = f"127.0.0.1:{free_port('127.0.0.1')}"
+        self.links.append(Process([BUILD / "standin-link", self.link_control, path, "--delay-ms", delay_ms],
+                                  self.folder / "stand-ins.err").start())
+
     def by_name(self, name):
         return next(node for node in self.nodes if node.name == name)
 
--- a/utils/soak.py
+++ b/utils/soak.py
@@ -12,7 +12,7 @@
 import sys
 import time
 
-from mesh import ROOT, BUILD, Mesh, Process, finish_load, free_port, http, wait_for
+from mesh import ROOT, Mesh, finish_load, http, wait_for
 
 DATA_CENTRES = ("riga-a", "riga-b", "riga-c")
 SERVICES = ("rezervacijas", "rezervacijas", "tirdznieciba")
@@ -31,23 +31,7 @@
     for number in range(count):
         place = number % 3
         node = mesh.add(f"n{number}", DATA_CENTRES[place], SERVICES[number // 3 % 3], host=f"127.0.{10 + place}.1")
-        node.translate = [(f"127.0.{10 + other}.", f"127.0.{100 + place * 3 + other}.")
-                          for other in range(3) if other != place]
-    pairs = []
-    for node in mesh.nodes:
-        home = DATA_CENTRES.index(node.data_centre)
-        for place in set(range(3)) - {home}:
-            for address in (node.control, node.inbound):
-                port = address.rsplit(":", 1)[1]
-                pairs.append(f"{DATA_CENTRES[place]}>{node.data_centre} 127.0.{100 + place * 3 + home}.1:{port} {address}")
-    for name in DATA_CENTRES:
-        mesh.platform_overrides[name] = f"127.0.0.1:{free_port('127.0.0.1')}"
-        pairs.append(f"store>{name} {mesh.platform_overrides[name]} {mesh.platform_address}")
-    path = mesh.folder / "links"
-    path.write_text("\n".join(pairs) + "\n")
-    mesh.link_control = f"127.0.0.1:{free_port('127.0.0.1')}"
-    mesh.links.append(Process([BUILD / "standin-link", mesh.link_control, path, "--delay-ms", LINK_DELAY_MS],
-                              mesh.folder / "stand-ins.err").start())
+    mesh.start_links(LINK_DELAY_MS, to_platform=True)
     mesh.share_hints()
     return mesh
 
