--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -70,7 +70,7 @@
 
 /// Tries of one call at most, refused ones included. Each costs both nodes as much as a served call, so under
 /// overload of a large service calls that ask everyone use up the processor time of calls that could be
-/// served. Four draws among the emptiest miss a free slot rarely.
+/// served. Three draws among the emptiest miss a free slot rarely.
 inline constexpr std::size_t most_tries = 3;
 
 /// True if the call's limits leave room for another try; the budget is asked apart.
