Nodes that peers keep told of new versions leave the store alone during a storm

Each of 81 nodes read each version whole (1,120 routes, some 150 KB, over 8.4 Mbit/s and a tenth of a core), although peers had passed on a delta; the watch also returned every version since the last one. Ruled out: the release of 19 workers in the same seconds (it goes on, the rise is gone). Change: plan_look (zone/look_plan, pure) decides when a node looks: bridges as before; others 0.8 s after the last version that they learned, and then by reading what is in force. A version that peers don't pass on is found within 1.2 s (bound: 2 s).

--- a/include/waxwingfall/machine/platform_agent.h
+++ b/include/waxwingfall/machine/platform_agent.h
@@ -47,6 +47,7 @@
     void take_seeds(const store_answer& answer);
     void watch(watch_state& state, const std::string& key, time_point now,
                void (platform_agent::*take)(const store_answer&));
+    void look_at_configuration(time_point now);
     void take_head(const store_answer& answer);
     void take_configuration(const store_answer& answer);
     void fetch_body(const accepted_version& version);
@@ -65,6 +66,9 @@
     bool was_reader_ = false;
     watch_state head_;
     watch_state ledger_;
+    std::uint64_t held_version_ = 0; ///< when last looked at
+    time_point learned_at_;          ///< when that version was taken
+    std::uint64_t seen_version_ = 0; ///< the newest that this node read from the operator's key itself
     time_point next_seed_look_;
     std::uint32_t seed_looks_ = 0;
     bool seed_look_waiting_ = false;
--- a/lib/machine/platform_agent.cpp
+++ b/lib/machine/platform_agent.cpp
@@ -7,6 +7,7 @@
 #include "platform/configuration_wire.h"
 #include "waxwingfall/contract/snapshot.h"
 #include "waxwingfall/support/digest.h"
+#include "waxwingfall/zone/look_plan.h"
 
 namespace waxwingfall {
 
@@ -15,9 +16,6 @@
 constexpr milliseconds watch_wait{30'000};
 constexpr milliseconds first_backoff{300};
 constexpr milliseconds backoff_limit{5'000};
-/// Between the end of a watch and the next one: versions that follow closely are then read with one call. A
-/// quarter of the shortest time in which a configuration has to be in force (2 s).
-constexpr milliseconds watch_spacing{500};
 constexpr milliseconds seed_lease{15'000};
 constexpr milliseconds seed_renewal{5'000};
 constexpr milliseconds first_seed_look{300};
@@ -43,15 +41,13 @@
     next_renewal_ = now;
     next_plan_ = now;
     next_report_ = now;
-    head_.spacing =
-        node.settings.source == configuration_source::operator_key ? watch_spacing : milliseconds(0);
     last_report_ = now;
 }
 
 void platform_agent::tick(time_point now) {
     look_for_seeds(now);
     if (node_.settings.source == configuration_source::operator_key) {
-        watch(head_, platform::configuration_key, now, &platform_agent::take_configuration);
+        look_at_configuration(now);
     }
     const auto rank = node_.leaving ? std::nullopt : own_bridge_rank(node_.control.nodes);
     // A node that has not found the others yet would take itself for the only one, and so would all of a
@@ -124,6 +120,24 @@
     add_contacts(nodes, unknown);
 }
 
+void platform_agent::look_at_configuration(time_point now) {
+    const std::uint64_t held = node_.control.contracts.held.mark.version;
+    if (held != held_version_) {
+        held_version_ = held;
+        learned_at_ = now;
+    }
+    const bool reads_for_others = own_bridge_rank(node_.control.nodes).has_value();
+    const look_plan plan = plan_look({reads_for_others, head_.next_try, learned_at_, held > seen_version_});
+    if (head_.waiting || now < plan.at) {
+        return;
+    }
+    head_.spacing = look_spacing(reads_for_others);
+    if (plan.reads_current) {
+        head_.revision = 0;
+    }
+    watch(head_, platform::configuration_key, now, &platform_agent::take_configuration);
+}
+
 void platform_agent::watch(watch_state& state, const std::string& key, time_point now,
                            void (platform_agent::*take)(const store_answer&)) {
     if (state.waiting || now < state.next_try) {
@@ -201,6 +215,7 @@
             const std::string bytes = encode_contract(accepted.content);
             sink_(take_platform_contract(node_.control, {{accepted.version, digest_of(bytes)}, bytes},
                                          monotonic_now()));
+            seen_version_ = accepted.version;
             return {};
         },
         [&](const fault_list& list) { refuse(to_string(list.faults.front())); },
