Metrics with labels: latency histograms of calls and runs, refusals by reason, calls to the store by kind and result

Totals are counters now. Ruled out: labels by route (a configuration has 1,400 routes, so the number of series would not be bounded).

--- a/include/waxwingfall/machine/call_proxy.h
+++ b/include/waxwingfall/machine/call_proxy.h
@@ -55,6 +55,7 @@
     struct retry_budget& budget_of(const std::string& service);
     static std::string request_id(const call& of);
     std::string endpoint_name(member_id id) const;
+    void note_latency(const call& ended, outcome result);
     void note_unserved(const call& ended);
     double retry_after_s(const call& refused);
     std::optional<milliseconds> goal_left(const call& open, time_point now) const;
--- a/include/waxwingfall/machine/node_context.h
+++ b/include/waxwingfall/machine/node_context.h
@@ -14,6 +14,7 @@
 #include "waxwingfall/contract/document.h"
 #include "waxwingfall/link/event_loop.h"
 #include "waxwingfall/link/message_link.h"
+#include "waxwingfall/machine/metrics.h"
 #include "waxwingfall/machine/settings.h"
 #include "waxwingfall/support/event_log.h"
 #include "waxwingfall/support/random_source.h"
@@ -56,6 +57,7 @@
     std::uint64_t version = 0;
 
     call_counts counts;
+    node_metrics metrics;
     std::unique_ptr<message_link> link;
     bool leaving = false;
 };
--- a/include/waxwingfall/store/store_client.h
+++ b/include/waxwingfall/store/store_client.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "platform/store_wire.h"
@@ -31,6 +32,9 @@
     std::uint64_t store_revision = 0; ///< of `watch`: where the next watch begins
 };
 
+/// The name of a status in metrics.
+std::string_view store_status_name(store_status status);
+
 using store_callback = std::function<void(const store_answer&)>;
 
 /// Calls to the platform's key-value service over HTTP, in the form of platform/store_wire.h. Each call
@@ -39,6 +43,8 @@
     const event_loop* loop = nullptr;
     ip_address address;
     milliseconds timeout{2000};
+    /// Told of the end of each call, by the call's name; may be empty.
+    std::function<void(std::string_view call, store_status status)> on_end{};
 };
 
 void read_value(const store_client& client, const std::string& key, store_callback done);
--- a/lib/machine/admin.cpp
+++ b/lib/machine/admin.cpp
@@ -1,6 +1,7 @@
 #include "waxwingfall/machine/admin.h"
 
 #include <nlohmann/json.hpp>
+#include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -25,9 +26,20 @@
     return "dead";
 }
 
-void add_gauge(prometheus::Registry& registry, const std::string& name, const std::string& help,
-               double value) {
-    prometheus::BuildGauge().Name("waxwingfall_" + name).Help(help).Register(registry).Add({}).Set(value);
+/// Adds a metric without labels as its row of the catalogue says.
+void add_metric(prometheus::Registry& registry, std::string_view name, double value) {
+    const metric_row& row = metric_named(name);
+    const std::string full = "waxwingfall_" + std::string(name);
+    if (row.type == "counter") {
+        prometheus::BuildCounter()
+            .Name(full)
+            .Help(std::string(row.help))
+            .Register(registry)
+            .Add({})
+            .Increment(value);
+        return;
+    }
+    prometheus::BuildGauge().Name(full).Help(std::string(row.help)).Register(registry).Add({}).Set(value);
 }
 
 } // namespace
@@ -93,39 +105,41 @@
     const zone& control = node_.control;
     const call_counts& counts = node_.counts;
     const link_counts& link = node_.link->counts();
-    const auto add = [&](const std::string& name, const std::string& help, auto value) {
-        add_gauge(registry, name, help, static_cast<double>(value));
+    const auto add = [&](std::string_view name, auto value) {
+        add_metric(registry, name, static_cast<double>(value));
     };
-    add("enforced_version", "version of the document in force", control.contracts.enforced.mark.version);
-    add("newest_known_version", "newest version that this node has heard of",
-        control.contracts.newest_known.version);
-    add("version_conflicts_total", "contents seen with a held version and another digest",
-        control.contracts.conflicts);
-    add("bad_contents_total", "contents without the announced digest", control.contracts.bad_contents);
-    add("members", "nodes in the table, dead ones included", control.nodes.members.size());
-    add("calls_received_total", "requests of callers", counts.received);
-    add("calls_answered_total", "requests answered by a worker", counts.answered);
-    add("calls_not_run_total", "requests refused and not run", counts.not_run);
-    add("calls_unknown_total", "requests with an unknown outcome", counts.unknown);
-    add("calls_replayed_total", "answers given again from the ledger", counts.replayed);
-    add("tries_total", "tries at workers", counts.tries);
-    add("retries_total", "tries after the first", counts.retries);
-    add("retries_denied_total", "retries that the budget forbade", counts.retries_denied);
-    add("admitted_total", "requests passed to the worker", counts.admitted);
-    add("refused_by_gate_total", "requests refused beside the worker", counts.refused_by_gate);
-    add("callers_gone_total", "requests whose caller closed its connection", counts.caller_gone);
-    add("open_calls", "requests of callers under way", view_.open_calls());
-    add("open_requests", "requests at the worker or waiting for it", view_.open_requests());
-    add("control_frames_sent_total", "messages to other nodes", link.frames_sent);
-    add("control_bytes_sent_total", "bytes of messages to other nodes", link.bytes_sent);
-    add("control_frames_received_total", "messages from other nodes", link.frames_received);
-    add("control_bytes_received_total", "bytes of messages from other nodes", link.bytes_received);
-    add("control_frames_dropped_total", "messages dropped before a full queue", link.frames_dropped);
-    add("control_frames_refused_total", "messages that did not parse", link.frames_refused);
-    add("control_peers", "open sockets to other nodes", node_.link->open_peers());
-    add("ledger_records", "idempotency keys recorded here", node_.records.record_count);
-    add("ledger_answer_bytes", "bytes of answers kept for them", node_.records.answer_bytes);
-    return prometheus::TextSerializer().Serialize(registry.Collect());
+    add("enforced_version", control.contracts.enforced.mark.version);
+    add("newest_known_version", control.contracts.newest_known.version);
+    add("version_conflicts_total", control.contracts.conflicts);
+    add("bad_contents_total", control.contracts.bad_contents);
+    add("members", control.nodes.members.size());
+    add("calls_received_total", counts.received);
+    add("calls_answered_total", counts.answered);
+    add("calls_not_run_total", counts.not_run);
+    add("calls_unknown_total", counts.unknown);
+    add("calls_replayed_total", counts.replayed);
+    add("tries_total", counts.tries);
+    add("retries_total", counts.retries);
+    add("retries_denied_total", counts.retries_denied);
+    add("admitted_total", counts.admitted);
+    add("refused_by_gate_total", counts.refused_by_gate);
+    add("callers_gone_total", counts.caller_gone);
+    add("open_calls", view_.open_calls());
+    add("open_requests", view_.open_requests());
+    add("control_frames_sent_total", link.frames_sent);
+    add("control_bytes_sent_total", link.bytes_sent);
+    add("control_frames_received_total", link.frames_received);
+    add("control_bytes_received_total", link.bytes_received);
+    add("control_frames_dropped_total", link.frames_dropped);
+    add("control_frames_refused_total", link.frames_refused);
+    add("control_peers", node_.link->open_peers());
+    add("ledger_records", node_.records.record_count);
+    add("ledger_answer_bytes", node_.records.answer_bytes);
+    std::vector<prometheus::MetricFamily> families = node_.metrics.collect();
+    for (prometheus::MetricFamily& family : registry.Collect()) {
+        families.push_back(std::move(family));
+    }
+    return prometheus::TextSerializer().Serialize(families);
 }
 
 } // namespace waxwingfall
--- a/lib/machine/call_proxy.cpp
+++ b/lib/machine/call_proxy.cpp
@@ -195,6 +195,11 @@
                         .messages);
 }
 
+void call_proxy::note_latency(const call& ended, outcome result) {
+    const request_kind kind = ended.route == nullptr ? request_kind::by_method : ended.route->kind;
+    node_.metrics.note_call(kind, result, milliseconds(elapsed_ms(ended.received_at, monotonic_now())));
+}
+
 void call_proxy::note_unserved(const call& ended) {
     if (ended.given_up_at) {
         waxwingfall::note_unserved(returns_, ended.received.fingerprint,
@@ -233,6 +238,7 @@
     }
     finished.caller->end();
     log_answer(finished);
+    note_latency(finished, outcome::done);
     node_.counts.answered += 1;
     node_.control.calls += 1;
     remove(id);
@@ -243,6 +249,8 @@
     const error_answer& row = answer_of(kind);
     const outcome result = outcome_of(kind, failed.has_key, failed.was_granted);
     log_failure(failed, kind, result);
+    note_latency(failed, result);
+    node_.metrics.note_refusal("client", kind);
     settle(failed, row.result == outcome::not_run ? released_state
                                                   : static_cast<std::uint32_t>(record_state::unknown));
     node_.counts.not_run += result == outcome::not_run ? 1 : 0;
--- a/lib/machine/platform_agent.cpp
+++ b/lib/machine/platform_agent.cpp
@@ -36,6 +36,9 @@
 
 platform_agent::platform_agent(node_context& node, zone_effects_sink sink)
     : node_(node), sink_(std::move(sink)), client_{&node.loop, node.settings.platform} {
+    client_.on_end = [this](std::string_view call, store_status status) {
+        node_.metrics.note_store_call(call, store_status_name(status));
+    };
     const time_point now = monotonic_now();
     next_seed_look_ = now + jittered(first_seed_look, node_.random);
     next_renewal_ = now;
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -212,11 +212,13 @@
     const std::string_view how = end == upstream_end::complete        ? "complete"
                                  : end == upstream_end::not_connected ? "not-connected"
                                                                       : "lost";
+    const std::int64_t ran_ms = elapsed_ms(ended.started, monotonic_now());
+    node_.metrics.note_run(how, milliseconds(ran_ms));
     node_.log.write(event_id::request_ended, wall_now(),
                     {{"request", header_value(ended.received.request.headers, platform::header::attempt_id)},
                      {"worker", node_.worker.worker_id},
                      {"end", std::string(how)},
-                     {"ran_ms", std::to_string(elapsed_ms(ended.started, monotonic_now()))}});
+                     {"ran_ms", std::to_string(ran_ms)}});
 }
 
 void worker_gate::on_end(std::uint64_t id, upstream_end end) {
@@ -249,6 +251,7 @@
 
 void worker_gate::refuse(std::uint64_t id, error_kind kind) {
     node_.counts.refused_by_gate += 1;
+    node_.metrics.note_refusal("worker", kind);
     node_.log.write(
         event_id::request_refused, wall_now(),
         {{"request", header_value(requests_.at(id)->received.request.headers, platform::header::attempt_id)},
--- a/lib/store/store_client.cpp
+++ b/lib/store/store_client.cpp
@@ -36,12 +36,15 @@
 }
 
 /// Sends a request and hands the answer's status and body to `take`.
-void call(const store_client& client, const http_request& request, milliseconds timeout,
-          std::function<void(store_answer, const http_answer&)> take) {
+void call(const store_client& client, std::string_view name, const http_request& request,
+          milliseconds timeout, std::function<void(store_answer, const http_answer&)> take) {
     exchange(*client.loop, client.address, request, timeout,
-             [take = std::move(take)](const http_answer& answer) {
+             [name, on_end = client.on_end, take = std::move(take)](const http_answer& answer) {
                  store_answer result;
                  result.status = status_of(answer);
+                 if (on_end) {
+                     on_end(name, result.status);
+                 }
                  take(std::move(result), answer);
              });
 }
@@ -62,7 +65,7 @@
 
 void list_page(const std::shared_ptr<listing>& state) {
     const std::string after = state->values.empty() ? std::string() : state->values.back().key;
-    call(state->client, platform::encode_list(state->prefix, after), state->client.timeout,
+    call(state->client, "list", platform::encode_list(state->prefix, after), state->client.timeout,
          [state](store_answer result, const http_answer& answer) {
              if (result.status != store_status::ok) {
                  state->done(result);
@@ -98,7 +101,7 @@
 /// Reads a key as a list of one: unlike the answer about an absent key, a list always names the store's
 /// revision.
 void read_current(const store_client& client, const std::string& key, store_callback done) {
-    call(client, platform::encode_list(key, {}), client.timeout,
+    call(client, "list", platform::encode_list(key, {}), client.timeout,
          [key, done = std::move(done)](store_answer result, const http_answer& answer) {
              if (result.status != store_status::ok) {
                  done(result);
@@ -119,7 +122,7 @@
 }
 
 void write(const store_client& client, const store_write& wanted, store_callback done) {
-    call(client, platform::encode_write(wanted), client.timeout,
+    call(client, "write", platform::encode_write(wanted), client.timeout,
          [wanted, done = std::move(done)](store_answer result, const http_answer& answer) {
              if (result.status == store_status::ok) {
                  const auto revision = platform::decode_written_revision(answer.body);
@@ -135,8 +138,26 @@
 
 } // namespace
 
+std::string_view store_status_name(store_status status) {
+    switch (status) {
+    case store_status::ok:
+        return "ok";
+    case store_status::absent:
+        return "absent";
+    case store_status::conflict:
+        return "conflict";
+    case store_status::unchanged:
+        return "unchanged";
+    case store_status::not_reached:
+        return "not-reached";
+    case store_status::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 void read_value(const store_client& client, const std::string& key, store_callback done) {
-    call(client, platform::encode_read(key), client.timeout,
+    call(client, "read", platform::encode_read(key), client.timeout,
          [key, done = std::move(done)](store_answer result, const http_answer& answer) {
              result.value.key = key;
              if (result.status == store_status::ok) {
@@ -161,7 +182,7 @@
         read_current(client, key, std::move(done));
         return;
     }
-    call(client, platform::encode_watch(key, known, wait), wait + watch_margin,
+    call(client, "watch", platform::encode_watch(key, known, wait), wait + watch_margin,
          [client, key, done = std::move(done)](store_answer result, const http_answer& answer) {
              if (answer.how == http_answer::delivery::answered &&
                  answer.status == wire_status::history_gone) {
@@ -198,7 +219,7 @@
 }
 
 void grant_lease(const store_client& client, milliseconds lifetime, store_callback done) {
-    call(client, platform::encode_lease(lifetime), client.timeout,
+    call(client, "grant-lease", platform::encode_lease(lifetime), client.timeout,
          [done = std::move(done)](store_answer result, const http_answer& answer) {
              if (result.status == store_status::ok) {
                  const auto lease = platform::decode_lease(answer.body);
@@ -213,12 +234,12 @@
 }
 
 void renew_lease(const store_client& client, const std::string& lease, store_callback done) {
-    call(client, platform::encode_renewal(lease), client.timeout,
+    call(client, "renew-lease", platform::encode_renewal(lease), client.timeout,
          [done = std::move(done)](const store_answer& result, const http_answer&) { done(result); });
 }
 
 void end_lease(const store_client& client, const std::string& lease, store_callback done) {
-    call(client, platform::encode_lease_end(lease), client.timeout,
+    call(client, "end-lease", platform::encode_lease_end(lease), client.timeout,
          [done = std::move(done)](const store_answer& result, const http_answer&) { done(result); });
 }
 
