A leaving node's worker goes on working until a second before the node stops

Ruled out: waiting for runs to end (idle at 2.6 s in every case seen). Change: plan_leave (zone/leave_plan, pure) tells the others a second before the end of the notice; /ready says no at once, as before. Tests: LeavePlan.*; WorkersGoOnWorkingForMostOfTheNotice has 2.6 s idle with the old order.

--- a/lib/machine/node.cpp
+++ b/lib/machine/node.cpp
@@ -8,6 +8,7 @@
 #include "waxwingfall/machine/reload.h"
 #include "waxwingfall/support/digest.h"
 #include "waxwingfall/support/yaml_tree.h"
+#include "waxwingfall/zone/leave_plan.h"
 
 namespace waxwingfall {
 
@@ -246,22 +247,26 @@
     context_.leaving = true;
     leave_started_ = now;
     context_.log.write(event_id::node_leaving, wall_now(), {});
-    apply(begin_leaving(context_.control, now));
-    update_endpoint(context_.routing, context_.control.nodes.self, now);
+    review_leaving(now);
 }
 
 void node::review_leaving(time_point now) {
     const node_settings& settings = context_.settings;
-    const auto since = now - leave_started_;
-    if (since < settings.leave_notice) {
-        return;
-    }
-    gate_.close();
-    proxy_.stop_accepting();
     const bool is_idle =
         proxy_.open_calls() == 0 && gate_.open_requests() == 0 && context_.claims.settling.empty();
     const bool handed_over = owns_nothing(context_.records.map, context_.control.nodes.self.id);
-    if ((is_idle && handed_over) || since > settings.leave_timeout) {
+    const milliseconds since(elapsed_ms(leave_started_, now));
+    const leave_plan plan =
+        plan_leave({since, settings.leave_notice, settings.leave_timeout, is_idle, handed_over});
+    if (plan.withdrawn && context_.control.nodes.self.state != member_state::leaving) {
+        apply(begin_leaving(context_.control, now));
+        update_endpoint(context_.routing, context_.control.nodes.self, now);
+    }
+    if (plan.closed) {
+        gate_.close();
+        proxy_.stop_accepting();
+    }
+    if (plan.stops) {
         context_.log.write(event_id::node_stopped, wall_now(),
                            {{"open_calls", std::to_string(proxy_.open_calls())},
                             {"handed_over", handed_over ? "yes" : "no"}});
--- a/lib/machine/platform_agent.cpp
+++ b/lib/machine/platform_agent.cpp
@@ -52,7 +52,7 @@
     if (node_.settings.source == configuration_source::operator_key) {
         look_at_configuration(now);
     }
-    const auto rank = node_.leaving ? std::nullopt : own_bridge_rank(node_.control.nodes);
+    const auto rank = own_bridge_rank(node_.control.nodes);
     // A node that has not found the others yet would take itself for the only one, and so would all of a
     // herd.
     const bool is_reader = rank && (node_.control.nodes.joined || seed_looks_ > 0);
--- a/lib/machine/worker_watch.cpp
+++ b/lib/machine/worker_watch.cpp
@@ -88,7 +88,8 @@
 }
 
 void worker_gate::show_worker(const std::string& why) {
-    const bool takes = takes_work(node_.worker) && !node_.leaving;
+    const bool has_withdrawn = node_.control.nodes.self.state == member_state::leaving;
+    const bool takes = takes_work(node_.worker) && !has_withdrawn;
     const std::uint32_t reported = node_.worker.newest ? node_.worker.newest->slots : node_.settings.slots;
     const std::uint32_t slots = takes ? reported : 0;
     membership& nodes = node_.control.nodes;
@@ -98,7 +99,7 @@
                                     ? node_.worker.newest->service
                                     : nodes.self.service;
     const bool has_left = node_.worker.leaving && nodes.self.left_worker != node_.worker.worker_id;
-    if ((nodes.self.slots == slots && nodes.self.service == service && !has_left) || node_.leaving) {
+    if ((nodes.self.slots == slots && nodes.self.service == service && !has_left) || has_withdrawn) {
         return;
     }
     nodes.self.service = service;
@@ -153,7 +154,7 @@
 }
 
 void worker_gate::set_health(bool healthy, const std::string& why) {
-    if (healthy == healthy_ || node_.leaving) {
+    if (healthy == healthy_ || node_.control.nodes.self.state == member_state::leaving) {
         return;
     }
     announce(healthy, healthy ? node_.settings.slots : 0, why);
