In a herd only the first few nodes write their address to the store

Cause, by reading what a node does before it has joined: it takes itself for the only one, so each of 81 took a lease and wrote an address (two calls) within half a second; at 920 nodes that is above the store's rate. Change: acts_as_bridge (zone/seed_plan, pure): a node that found addresses of others joins there, and writes its own only if nobody lives there for 3 s. Tests: SeedPlan plays herds of 81 and 920.

--- a/include/waxwingfall/machine/platform_agent.h
+++ b/include/waxwingfall/machine/platform_agent.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "waxwingfall/machine/node_context.h"
@@ -71,6 +72,8 @@
     std::uint64_t seen_version_ = 0; ///< the newest that this node read from the operator's key itself
     time_point next_seed_look_;
     std::uint32_t seed_looks_ = 0;
+    bool finds_others_ = false;                 ///< at the last look
+    std::optional<time_point> others_found_at_; ///< for the first time
     bool seed_look_waiting_ = false;
     std::string lease_;
     std::size_t leased_rank_ = 0;
--- a/lib/machine/platform_agent.cpp
+++ b/lib/machine/platform_agent.cpp
@@ -8,6 +8,7 @@
 #include "waxwingfall/contract/snapshot.h"
 #include "waxwingfall/support/digest.h"
 #include "waxwingfall/zone/look_plan.h"
+#include "waxwingfall/zone/seed_plan.h"
 
 namespace waxwingfall {
 
@@ -53,9 +54,9 @@
         look_at_configuration(now);
     }
     const auto rank = own_bridge_rank(node_.control.nodes);
-    // A node that has not found the others yet would take itself for the only one, and so would all of a
-    // herd.
-    const bool is_reader = rank && (node_.control.nodes.joined || seed_looks_ > 0);
+    const milliseconds since_found(others_found_at_ ? elapsed_ms(*others_found_at_, now) : 0);
+    const bool is_reader =
+        rank && acts_as_bridge({node_.control.nodes.joined, seed_looks_, finds_others_, since_found});
     if (is_reader != was_reader_) {
         was_reader_ = is_reader;
         node_.log.write(is_reader ? event_id::reader_started : event_id::reader_stopped, wall_now(), {});
@@ -120,6 +121,10 @@
         nodes.join_attempts = 0;
         nodes.contacts.clear();
     }
+    finds_others_ = !unknown.empty();
+    if (finds_others_ && !others_found_at_) {
+        others_found_at_ = monotonic_now();
+    }
     add_contacts(nodes, unknown);
 }
 
