--- a/include/waxwingfall/support/event_log.h
+++ b/include/waxwingfall/support/event_log.h
@@ -21,6 +21,7 @@
     lines_suppressed = 104,
     settings_reloaded = 105,
     settings_refused = 106,
+    node_withdrawn = 107,
     member_joined = 200,
     member_suspected = 201,
     member_left = 202,
--- a/include/waxwingfall/zone/look_plan.h
+++ b/include/waxwingfall/zone/look_plan.h
@@ -8,7 +8,7 @@
 /// What bears on when a node looks for itself whether the platform holds a newer configuration.
 struct look_question {
     bool reads_for_others = false;  ///< it is a bridge: its peers learn of versions through it
-    time_point spaced;              ///< end of the spacing after its last look
+    time_point spacing_ends;        ///< after its last look
     time_point learned;             ///< when it last took a newer version, from whatever source
     bool was_told_by_peers = false; ///< of a version that is newer than the one it saw itself
     auto operator<=>(const look_question&) const = default;
@@ -17,8 +17,8 @@
 /// When to look, and how.
 struct look_plan {
     time_point at;
-    bool reads_current =
-        false; ///< read what is in force; a watch would return every version since the last look
+    /// Reads what is in force now; a watch would return every version since the last look.
+    bool reads_current = false;
     auto operator<=>(const look_plan&) const = default;
 };
 
--- a/lib/machine/metrics.cpp
+++ b/lib/machine/metrics.cpp
@@ -46,8 +46,11 @@
 
 /// Upper bounds in seconds, each twice the one before: from a hop inside a data centre to the longest time
 /// that the users' clients wait.
-const prometheus::Histogram::BucketBoundaries latency_buckets{0.005, 0.01, 0.02, 0.04, 0.08, 0.16,
-                                                              0.32,  0.64, 1.28, 2.56, 5.12, 10.24};
+const prometheus::Histogram::BucketBoundaries& latency_buckets() {
+    static const prometheus::Histogram::BucketBoundaries bounds{0.005, 0.01, 0.02, 0.04, 0.08, 0.16,
+                                                                0.32,  0.64, 1.28, 2.56, 5.12, 10.24};
+    return bounds;
+}
 
 constexpr double ms_per_s = 1000.0;
 
@@ -83,7 +86,7 @@
 void node_metrics::note_call(request_kind kind, outcome result, milliseconds age) {
     calls_
         .Add({{"kind", std::string(kind_name(kind))}, {"outcome", std::string(outcome_name(result))}},
-             latency_buckets)
+             latency_buckets())
         .Observe(seconds(age));
 }
 
@@ -92,7 +95,7 @@
 }
 
 void node_metrics::note_run(std::string_view end, milliseconds ran) {
-    runs_.Add({{"end", std::string(end)}}, latency_buckets).Observe(seconds(ran));
+    runs_.Add({{"end", std::string(end)}}, latency_buckets()).Observe(seconds(ran));
 }
 
 void node_metrics::note_store_call(std::string_view call, std::string_view result) {
--- a/lib/machine/node.cpp
+++ b/lib/machine/node.cpp
@@ -259,6 +259,8 @@
     const leave_plan plan =
         plan_leave({since, settings.leave_notice, settings.leave_timeout, is_idle, handed_over});
     if (plan.withdrawn && context_.control.nodes.self.state != member_state::leaving) {
+        context_.log.write(event_id::node_withdrawn, wall_now(),
+                           {{"open_requests", std::to_string(gate_.open_requests())}});
         apply(begin_leaving(context_.control, now));
         update_endpoint(context_.routing, context_.control.nodes.self, now);
     }
--- a/lib/support/event_log.cpp
+++ b/lib/support/event_log.cpp
@@ -34,6 +34,7 @@
     event_row{lines_suppressed, "lines-suppressed", "warn"},
     event_row{settings_reloaded, "settings-reloaded", "info"},
     event_row{settings_refused, "settings-refused", "error"},
+    event_row{node_withdrawn, "node-withdrawn", "info"},
     event_row{member_joined, "member-joined", "info"},
     event_row{member_suspected, "member-suspected", "warn"},
     event_row{member_left, "member-left", "info"},
--- a/lib/zone/look_plan.cpp
+++ b/lib/zone/look_plan.cpp
@@ -21,9 +21,9 @@
 
 look_plan plan_look(const look_question& question) {
     if (question.reads_for_others) {
-        return {question.spaced, false};
+        return {question.spacing_ends, false};
     }
-    return {std::max(question.spaced, question.learned + follower_spacing), question.was_told_by_peers};
+    return {std::max(question.spacing_ends, question.learned + follower_spacing), question.was_told_by_peers};
 }
 
 milliseconds look_spacing(bool reads_for_others) {
--- a/unittests/zone/look_plan_test.cpp
+++ b/unittests/zone/look_plan_test.cpp
@@ -45,7 +45,7 @@
     };
     const auto looked = [&](milliseconds at) {
         question.was_told_by_peers = false;
-        question.spaced = start + at + jittered(look_spacing(reads_for_others), random);
+        question.spacing_ends = start + at + jittered(look_spacing(reads_for_others), random);
     };
     for (milliseconds at{0}; at < end; at += milliseconds(10)) {
         for (std::size_t index = 0; index < accepted.size(); ++index) {
