--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -62,6 +62,10 @@
 /// The error that ends a call after its last try: a refusal proves nothing once another try may have run.
 error_kind final_kind(error_kind last, bool may_have_run);
 
+/// The error that ends a call whose last try broke off or failed. At the deadline that is no sign of a broken
+/// worker: the wait ended, and the outcome is open.
+error_kind broken_kind(time_point deadline, time_point now);
+
 /// What bears on another try of a call.
 struct retry_question {
     std::size_t reached = 0; ///< tries that may have reached a worker
--- a/lib/call/call_decisions.cpp
+++ b/lib/call/call_decisions.cpp
@@ -98,6 +98,10 @@
     return claims_too_much ? error_kind::worker_failed : last;
 }
 
+error_kind broken_kind(time_point deadline, time_point now) {
+    return now >= deadline ? error_kind::outcome_unknown : error_kind::worker_failed;
+}
+
 outcome outcome_of(error_kind kind, bool has_key, bool was_granted) {
     const outcome result = answer_of(kind).result;
     const bool proves_itself =
--- a/lib/machine/call_tries.cpp
+++ b/lib/machine/call_tries.cpp
@@ -241,7 +241,7 @@
     if (may_retry(ended, ended.reached, now)) {
         try_next(id);
     } else {
-        fail(id, error_kind::worker_failed);
+        fail(id, broken_kind(ended.deadline, now));
     }
 }
 
--- a/lib/machine/worker_gate.cpp
+++ b/lib/machine/worker_gate.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "gate_request.h"
+#include "waxwingfall/call/call_decisions.h"
 
 namespace waxwingfall {
 
@@ -243,6 +244,11 @@
         refuse(id, error_kind::worker_unreachable);
         return;
     }
+    const error_kind kind = broken_kind(ended.deadline, monotonic_now());
+    if (kind != error_kind::worker_failed) {
+        fail(id, kind);
+        return;
+    }
     broken_fingerprints_.emplace(id, ended.received.fingerprint);
     if (note_broken(crashes_, id)) {
         seek_crash();
--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -316,6 +316,15 @@
     }
 }
 
+// A request with 1 ms left was answered 502 after 24 ms on a loaded machine: its node took the end of the
+// wait for a broken worker and asked the worker whether it had crashed.
+TEST(Outcomes, ATryThatBreaksAtItsDeadlineIsNoFailureOfItsWorker) {
+    const time_point deadline = start + milliseconds(1);
+    EXPECT_EQ(broken_kind(deadline, start), error_kind::worker_failed);
+    EXPECT_EQ(broken_kind(deadline, deadline), error_kind::outcome_unknown);
+    EXPECT_EQ(answer_of(broken_kind(deadline, deadline)).result, outcome::unknown);
+}
+
 TEST(Retries, AllNodesTogetherStayWithinTheSlack) {
     for (const std::size_t nodes : {1U, 9U, 88U, 919U}) {
         const retry_budget budget = share_of_slack(216, nodes);
