--- a/include/waxwingfall/machine/platform_agent.h
+++ b/include/waxwingfall/machine/platform_agent.h
@@ -48,7 +48,7 @@
     void take_seeds(const store_answer& answer);
     void watch(watch_state& state, const std::string& key, time_point now,
                void (platform_agent::*take)(const store_answer&));
-    void look_at_configuration(time_point now);
+    void look_at_configuration(bool reads_for_others, time_point now);
     void take_head(const store_answer& answer);
     void take_configuration(const store_answer& answer);
     void fetch_body(const accepted_version& version);
--- a/lib/machine/platform_agent.cpp
+++ b/lib/machine/platform_agent.cpp
@@ -50,10 +50,10 @@
 
 void platform_agent::tick(time_point now) {
     look_for_seeds(now);
+    const auto rank = own_bridge_rank(node_.control.nodes);
     if (node_.settings.source == configuration_source::operator_key) {
-        look_at_configuration(now);
+        look_at_configuration(rank.has_value(), now);
     }
-    const auto rank = own_bridge_rank(node_.control.nodes);
     const milliseconds since_found(others_found_at_ ? elapsed_ms(*others_found_at_, now) : 0);
     const bool is_reader =
         rank && acts_as_bridge({node_.control.nodes.joined, seed_looks_, finds_others_, since_found});
@@ -128,13 +128,12 @@
     add_contacts(nodes, unknown);
 }
 
-void platform_agent::look_at_configuration(time_point now) {
+void platform_agent::look_at_configuration(bool reads_for_others, time_point now) {
     const std::uint64_t held = node_.control.contracts.held.mark.version;
     if (held != held_version_) {
         held_version_ = held;
         learned_at_ = now;
     }
-    const bool reads_for_others = own_bridge_rank(node_.control.nodes).has_value();
     const look_plan plan = plan_look({reads_for_others, head_.next_try, learned_at_, held > seen_version_});
     if (head_.waiting || now < plan.at) {
         return;
--- /dev/null
+++ b/unittests/machine/loopback.h
@@ -0,0 +1,27 @@
+#ifndef WAXWINGFALL_UNITTESTS_MACHINE_LOOPBACK_H
+#define WAXWINGFALL_UNITTESTS_MACHINE_LOOPBACK_H
+
+#include <cstdint>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+namespace waxwingfall::test {
+
+/// A listening socket and its port.
+inline std::pair<int, std::uint16_t> listen_on_loopback() {
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    listen(listener, 16);
+    socklen_t size = sizeof(address);
+    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    return {listener, ntohs(address.sin_port)};
+}
+
+} // namespace waxwingfall::test
+
+#endif
--- a/unittests/machine/platform_agent_test.cpp
+++ b/unittests/machine/platform_agent_test.cpp
@@ -3,11 +3,10 @@
 #include <string>
 #include <vector>
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
+#include "loopback.h"
 #include "waxwingfall/link/http.h"
 
 using namespace waxwingfall;
@@ -16,15 +15,9 @@
 
 /// A port of the loopback address that nothing listens on.
 std::uint16_t unused_port() {
-    const int probe = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    socklen_t size = sizeof(address);
-    getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-    close(probe);
-    return ntohs(address.sin_port);
+    const auto [listener, port] = test::listen_on_loopback();
+    close(listener);
+    return port;
 }
 
 /// A store without keys that keeps every watch waiting.
--- a/unittests/machine/upstream_test.cpp
+++ b/unittests/machine/upstream_test.cpp
@@ -7,25 +7,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "loopback.h"
 #include "waxwingfall/machine/upstream.h"
 
 using namespace waxwingfall;
+using waxwingfall::test::listen_on_loopback;
 
 namespace {
 
-/// A listening socket and its port.
-std::pair<int, std::uint16_t> listen_on_loopback() {
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    listen(listener, 16);
-    socklen_t size = sizeof(address);
-    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
-    return {listener, ntohs(address.sin_port)};
-}
-
 /// A worker that takes each connection, reads what comes, answers with fixed bytes and closes.
 class abrupt_worker {
 public:
