Calls of a running request go first; an unacknowledged attempt is awaited beside the next

Ruled out: processor time (0.036 of a core of 0.1), workers that slow down when full.

Change: calls whose id extends that of a request which the local worker runs get the most urgent priority (nested_calls). An idempotent attempt without an acknowledgement is kept while another one starts, the first response wins; a request that may run once is awaited until its deadline or until its connection breaks (3 s).

--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -23,6 +23,12 @@
     auto operator<=>(const waiting_request&) const = default;
 };
 
+/// The queue entry of a request that arrives at `now` with this much of its latency objective left: 0 if it has
+/// passed, nothing if the request has none. For requests of `nested_call_priority` only the deadline counts,
+/// since a late response to them is better than none.
+waiting_request make_waiting_request(std::uint64_t id, time_point deadline, std::uint32_t priority,
+                                     std::optional<milliseconds> objective_left, time_point now);
+
 /// Mean and mean deviation of run times, both exponentially weighted.
 struct run_time_stats {
     double mean_ms = 0;
@@ -34,7 +40,9 @@
 /// request is known not to have run. Under load beyond the worker's capacity, urgent requests start first and
 /// displace others, and a request that can't complete in time is refused on arrival instead of being
 /// queued. Within a priority, requests past their objective run only when no other waits: this serves as many
-/// requests, and more of them in time.
+/// requests, and more of them in time. They are queued through a burst, after which there is room for them, and
+/// refused in a long overload, which would keep them until their deadline: an overload is expected to last as
+/// long again as it has lasted so far.
 struct admission {
     std::uint32_t slots = 1;
     std::uint32_t queue_limit = 0;
@@ -45,6 +53,8 @@
     std::uint32_t starts_since_least_urgent = 0; ///< starts since the least urgent request was last preferred
     double mean_run_ms = 0;                      ///< over all runs, exponentially weighted
     std::map<std::uint32_t, run_time_stats> run_times_by_priority;
+    /// Since when every slot has been busy and requests had to wait; unset while there is room.
+    std::optional<time_point> saturated_since;
     bool leaving = false;
 };
 
--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -48,15 +48,15 @@
 /// be over.
 double retry_after_s(const retry_after_inputs& inputs, random_source& random);
 
-/// Time within which the worker's node must acknowledge a request; after it, another node is attempted or the
-/// request is given up. Covers nodes that are slow under load as well as unreachable ones: a request that may
-/// run only once is not given up while it may still run, since no other node can take it over.
+/// Time within which the worker's node must acknowledge a request; after it, another node is attempted as well.
+/// 0 if there is no limit: no other node can take over a request that may run only once, so it is awaited until
+/// its deadline, or until its connection breaks. Its body may take seconds on a saturated link.
 milliseconds acknowledgement_timeout(bool non_idempotent);
 
-/// Further wait for a request that its node has not acknowledged after `waited`; 0 to give it up. If no other
-/// attempt may follow, giving up early on a node that is only slow under load would fail a call that may be
-/// running.
-milliseconds acknowledgement_extension(milliseconds waited, bool another_may_follow);
+/// Further wait for a request that its node has not acknowledged after `waited`; 0 to give it up. A node that
+/// is only slow under load may run it, so it is awaited beside the next attempt for the `remaining` time, or,
+/// if no other attempt may follow, well beyond the lag of such nodes.
+milliseconds acknowledgement_extension(milliseconds waited, bool another_follows, milliseconds remaining);
 
 /// The error that ends a call after its last attempt: a refusal does not show that nothing ran if another
 /// attempt may have run.
--- a/include/waxwingfall/node/call_proxy.h
+++ b/include/waxwingfall/node/call_proxy.h
@@ -44,9 +44,14 @@
     void claim(std::uint64_t id);
     void start_next_attempt(std::uint64_t id);
     std::optional<member_id> pick(const call& placed, time_point now);
+    upstream_callbacks make_callbacks(std::uint64_t id, std::size_t attempt, time_point sent_at);
     void on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers);
     void on_data(std::uint64_t id, evbuffer* data);
     void on_end(std::uint64_t id, upstream_end end);
+    milliseconds on_acknowledgement_overdue(std::uint64_t id, std::size_t attempt, milliseconds waited);
+    bool is_current(std::uint64_t id, std::size_t attempt) const;
+    void on_silent_headers(std::uint64_t id, int status, const std::vector<http_header>& headers);
+    bool resume_silent_attempt(call& waiting);
     void on_refused(std::uint64_t id);
     void finish(std::uint64_t id);
     void fail(std::uint64_t id, error_kind kind);
--- a/include/waxwingfall/node/node_context.h
+++ b/include/waxwingfall/node/node_context.h
@@ -8,6 +8,7 @@
 
 #include "waxwingfall/call/claimant.h"
 #include "waxwingfall/call/ledger.h"
+#include "waxwingfall/call/nested_calls.h"
 #include "waxwingfall/call/quarantine.h"
 #include "waxwingfall/call/routing.h"
 #include "waxwingfall/call/worker_view.h"
@@ -52,6 +53,7 @@
     ledger records;
     claimant claims;
     quarantine crashes;
+    running_requests running;                        ///< at the local worker
     worker_view worker;                              ///< used only if the worker sends heartbeats
     std::shared_ptr<const contract> active_contract; ///< null until a document is enforced
     std::uint64_t version = 0;                       ///< of the active contract
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "waxwingfall/call/nested_calls.h"
+
 namespace waxwingfall {
 
 namespace {
@@ -13,9 +15,9 @@
 /// One of this many starts goes to the least urgent request, so that no priority starves.
 constexpr std::uint32_t starts_per_least_urgent_start = 8;
 
-/// Longest expected wait, before the run itself, with which a request past its objective is queued: a
-/// fraction of a usual run. Requests within their objective overtake it, so a longer wait would mostly end in
-/// a refusal.
+/// Longest expected wait, before the run itself, with which a request past its objective is queued however
+/// long the overload lasts: a fraction of a usual run. Requests within their objective overtake it, so a longer
+/// wait would mostly end in a refusal.
 constexpr milliseconds max_wait_past_objective{100};
 
 /// Margin required beyond the mean run time, in mean deviations. Without it, half of the requests admitted
@@ -55,9 +57,17 @@
     return std::min(request.deadline, now + max_wait_past_objective + run);
 }
 
+/// True if a request past its objective would end before its deadline although requests within theirs keep
+/// overtaking it until the overload is over.
+bool outlasts_overload(const admission& state, const waiting_request& request, time_point end, time_point now) {
+    const auto lasted = now - state.saturated_since.value_or(now);
+    return request.past_objective && end + lasted <= request.deadline;
+}
+
 bool would_end_too_late(const admission& state, const waiting_request& request, std::size_t ahead,
                         time_point now) {
-    return expected_end(state, request, ahead, now) > latest_useful_end(state, request, now);
+    const time_point end = expected_end(state, request, ahead, now);
+    return end > latest_useful_end(state, request, now) && !outlasts_overload(state, request, end, now);
 }
 
 bool is_more_urgent(const waiting_request& one, const waiting_request& other) {
@@ -114,6 +124,19 @@
 
 } // namespace
 
+waiting_request make_waiting_request(std::uint64_t id, time_point deadline, std::uint32_t priority,
+                                     std::optional<milliseconds> objective_left, time_point now) {
+    waiting_request request{id, deadline, priority, std::nullopt, false};
+    if (!objective_left || priority == nested_call_priority) {
+        return request;
+    }
+    request.past_objective = *objective_left == milliseconds(0);
+    if (!request.past_objective) {
+        request.objective = now + *objective_left;
+    }
+    return request;
+}
+
 admission_verdict admit(admission& state, const waiting_request& request, time_point now) {
     if (state.leaving) {
         return admission_verdict::refuse_leaving;
@@ -139,6 +162,7 @@
         // is a more urgent one.
         displace(state, state.waiting.size() - 1);
     }
+    state.saturated_since = state.saturated_since.value_or(now);
     state.waiting.insert(
         state.waiting.begin() + static_cast<std::ptrdiff_t>(std::min(ahead, state.waiting.size())), request);
     for (std::size_t index = state.waiting.size(); index-- > ahead + 1;) {
@@ -179,6 +203,9 @@
         update.run.push_back(dequeue_next(state));
         state.running += 1;
     }
+    if (state.running < state.slots) {
+        state.saturated_since = std::nullopt;
+    }
     return update;
 }
 
--- a/lib/call/call_decisions.cpp
+++ b/lib/call/call_decisions.cpp
@@ -10,8 +10,8 @@
 /// node with a fifth of a core takes about 50 ms under load to read a request.
 constexpr milliseconds retryable_acknowledgement_timeout{400};
 
-/// Time without an acknowledgement after which a request that no other attempt follows is given up. Nodes
-/// with a tenth of a core lagged by 0.3 s, and by 0.7 s with a saturated link.
+/// Time without an acknowledgement after which an idempotent request that no other attempt follows is given up.
+/// Nodes with a tenth of a core lagged by 0.3 s, and by 0.7 s with a saturated link.
 constexpr milliseconds final_acknowledgement_timeout{1500};
 
 } // namespace
@@ -87,12 +87,12 @@
 }
 
 milliseconds acknowledgement_timeout(bool non_idempotent) {
-    return non_idempotent ? final_acknowledgement_timeout : retryable_acknowledgement_timeout;
+    return non_idempotent ? milliseconds(0) : retryable_acknowledgement_timeout;
 }
 
-milliseconds acknowledgement_extension(milliseconds waited, bool another_may_follow) {
-    return another_may_follow ? milliseconds(0)
-                              : std::max(milliseconds(0), final_acknowledgement_timeout - waited);
+milliseconds acknowledgement_extension(milliseconds waited, bool another_follows, milliseconds remaining) {
+    const milliseconds limit = another_follows ? remaining : final_acknowledgement_timeout - waited;
+    return std::max(milliseconds(0), limit);
 }
 
 error_kind final_kind(error_kind last, bool may_have_run) {
--- a/lib/node/call_attempts.cpp
+++ b/lib/node/call_attempts.cpp
@@ -59,6 +59,7 @@
     placed.past_objective = remaining_objective(placed, now) == milliseconds(0);
     const bool is_retry = !placed.attempted_endpoints.empty();
     placed.attempted_endpoints.push_back(*endpoint);
+    placed.attempt = placed.attempted_endpoints.size();
     log_placement(placed, now);
     node_.counts.attempts += 1;
     node_.counts.retries += is_retry ? 1 : 0;
@@ -68,7 +69,7 @@
     set_header(sent.headers, call_header::deadline_ms, std::to_string(remaining_ms));
     set_header(sent.headers, platform::header::client_service, node_.settings.service);
     set_header(sent.headers, call_header::service, service);
-    set_header(sent.headers, call_header::priority, std::to_string(placed.route->priority));
+    set_header(sent.headers, call_header::priority, std::to_string(placed.priority));
     const auto objective = remaining_objective(placed, now);
     if (objective) {
         set_header(sent.headers, call_header::objective_ms, std::to_string(objective->count()));
@@ -80,24 +81,111 @@
         set_header(sent.headers, call_header::retry_attempt,
                    std::to_string(placed.attempted_endpoints.size()));
     }
-    upstream_callbacks callbacks;
-    callbacks.on_headers = [this, id](int status, const std::vector<http_header>& headers) {
-        on_headers(id, status, headers);
-    };
-    callbacks.on_data = [this, id](evbuffer* data) { on_data(id, data); };
-    callbacks.on_end = [this, id](upstream_end end) { on_end(id, end); };
     const std::string translated =
         translate(node_.settings.translations, endpoint_address(node_.routing, service, *endpoint));
     const auto address = parse_address(translated);
     upstream_options options;
     options.timeout = milliseconds(remaining_ms) + deadline_margin;
     options.acknowledged_within = acknowledgement_timeout(placed.non_idempotent);
-    callbacks.on_acknowledgement_overdue = [this, id, sent_at = now] {
-        const time_point due = monotonic_now();
-        const milliseconds waited(elapsed_ms(sent_at, due));
-        return acknowledgement_extension(waited, can_try_another_endpoint(*calls_.at(id), due));
+    placed.upstream = workers_.send(address.value_or(ip_address{}), sent, options,
+                                    make_callbacks(id, placed.attempt, now));
+}
+
+upstream_callbacks call_proxy::make_callbacks(std::uint64_t id, std::size_t attempt, time_point sent_at) {
+    upstream_callbacks callbacks;
+    callbacks.on_headers = [this, id, attempt](int status, const std::vector<http_header>& headers) {
+        if (is_current(id, attempt)) {
+            on_headers(id, status, headers);
+        } else {
+            on_silent_headers(id, status, headers);
+        }
+    };
+    callbacks.on_data = [this, id, attempt](evbuffer* data) {
+        if (is_current(id, attempt)) {
+            on_data(id, data);
+        } else {
+            evbuffer_drain(data, evbuffer_get_length(data));
+        }
+    };
+    callbacks.on_end = [this, id, attempt](upstream_end end) {
+        if (is_current(id, attempt)) {
+            on_end(id, end);
+        } else {
+            calls_.at(id)->silent.reset();
+        }
+    };
+    callbacks.on_acknowledgement_overdue = [this, id, attempt, sent_at] {
+        return on_acknowledgement_overdue(id, attempt,
+                                          milliseconds(elapsed_ms(sent_at, monotonic_now())));
     };
-    placed.upstream = workers_.send(address.value_or(ip_address{}), sent, options, std::move(callbacks));
+    return callbacks;
+}
+
+bool call_proxy::is_current(std::uint64_t id, std::size_t attempt) const {
+    return calls_.at(id)->attempt == attempt;
+}
+
+milliseconds call_proxy::on_acknowledgement_overdue(std::uint64_t id, std::size_t attempt,
+                                                    milliseconds waited) {
+    call& waiting = *calls_.at(id);
+    const time_point now = monotonic_now();
+    const milliseconds remaining(elapsed_ms(now, waiting.deadline));
+    if (!is_current(id, attempt)) {
+        return remaining;
+    }
+    if (waiting.silent || !can_try_another_endpoint(waiting, now) ||
+        !may_retry(waiting, waiting.reached_attempts + 1, now)) {
+        return acknowledgement_extension(waited, false, remaining);
+    }
+    waiting.silent = silent_attempt{attempt, waiting.endpoint, waiting.upstream, false};
+    waiting.attempt_in_progress = false;
+    waiting.reached_attempts += 1;
+    waiting.may_have_run = true;
+    waiting.refusal = error_kind::worker_failed;
+    end_attempt(node_.routing, waiting.service->name, waiting.endpoint, attempt_result::unreachable, {}, now);
+    start_next_attempt(id);
+    return acknowledgement_extension(waited, true, remaining);
+}
+
+void call_proxy::on_silent_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
+    call& active = *calls_.at(id);
+    const bool is_success =
+        header_value(headers, call_header::outcome) == outcome_name(outcome::done) &&
+        status < first_server_error;
+    if (!is_success || active.client->has_started()) {
+        active.silent->refused = true;
+        return;
+    }
+    if (active.attempt_in_progress) {
+        workers_.cancel(active.upstream);
+        end_attempt(node_.routing, active.service->name, active.endpoint, attempt_result::cancelled, {},
+                    monotonic_now());
+    }
+    active.attempt_in_progress = false;
+    resume_silent_attempt(active);
+    on_headers(id, status, headers);
+}
+
+bool call_proxy::resume_silent_attempt(call& waiting) {
+    const bool may_respond = waiting.silent && !waiting.silent->refused && !waiting.attempt_in_progress &&
+                             !waiting.client->has_started();
+    if (!may_respond) {
+        return false;
+    }
+    const silent_attempt resumed = *waiting.silent;
+    waiting.silent.reset();
+    waiting.attempt = resumed.attempt;
+    waiting.endpoint = resumed.endpoint;
+    waiting.upstream = resumed.upstream;
+    waiting.attempt_in_progress = true;
+    waiting.refused = false;
+    waiting.crashed = false;
+    waiting.response_withheld = false;
+    waiting.worker_failed = false;
+    waiting.status = 0;
+    waiting.buffered_body.clear();
+    begin_attempt(node_.routing, waiting.service->name, waiting.endpoint);
+    return true;
 }
 
 std::optional<member_id> call_proxy::pick(const call& placed, time_point now) {
@@ -105,7 +193,7 @@
     if (node_.routing.policy.rule != pick_rule::expected_finish) {
         return pick_endpoint(node_.routing, service, placed.attempted_endpoints, now, node_.random);
     }
-    const placement_inputs inputs{service, placed.attempted_endpoints, placed.route->priority,
+    const placement_inputs inputs{service, placed.attempted_endpoints, placed.priority,
                                   placed.route->kind == request_kind::download,
                                   remaining_objective(placed, now) == milliseconds(0)};
     return place_call(node_.routing, inputs, now, node_.random);
@@ -114,7 +202,7 @@
 void call_proxy::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     call& active = *calls_.at(id);
     active.report = {read_number(headers, call_header::load), read_number(headers, call_header::mean_run_ms),
-                     active.route->priority, std::nullopt, active.past_objective};
+                     active.priority, std::nullopt, active.past_objective};
     if (const auto pause = read_number(headers, call_header::pause_ms)) {
         active.report.pause = milliseconds(static_cast<std::int64_t>(*pause));
     }
--- a/lib/node/call_proxy.cpp
+++ b/lib/node/call_proxy.cpp
@@ -84,6 +84,8 @@
     started.deadline = read_deadline(started.received.request.headers, milliseconds(limit), now);
     const std::string retry = header_value(started.received.request.headers, call_header::retry_attempt);
     started.inside_retry = !retry.empty() && retry != "0";
+    const bool is_nested = is_nested_call(node_.running, request_id(started));
+    started.priority = is_nested ? nested_call_priority : started.route->priority;
     started.non_idempotent = runs_once(*started.route, started.received.method);
     started.max_attempts =
         started.route->max_attempts != 0 ? started.route->max_attempts : started.service->max_attempts;
@@ -248,6 +250,9 @@
 
 void call_proxy::fail(std::uint64_t id, error_kind kind) {
     call& failed = *calls_.at(id);
+    if (monotonic_now() < failed.deadline && resume_silent_attempt(failed)) {
+        return;
+    }
     const error_info& row = error_info_of(kind);
     const outcome result = outcome_of(kind, failed.has_key, failed.was_granted);
     log_failure(failed, kind, result);
@@ -284,6 +289,9 @@
     const std::unique_ptr<call> removed = std::move(found->second);
     calls_.erase(found);
     calls_by_attempt_.erase(removed->attempt_id);
+    if (removed->silent) {
+        workers_.cancel(removed->silent->upstream);
+    }
     if (removed->attempt_in_progress) {
         workers_.cancel(removed->upstream);
         end_attempt(node_.routing, removed->service->name, removed->endpoint, attempt_result::cancelled, {},
--- a/lib/node/call_state.h
+++ b/lib/node/call_state.h
@@ -15,6 +15,15 @@
 /// before this node times out.
 inline constexpr milliseconds deadline_margin{50};
 
+/// An attempt that its node has not acknowledged in time. It is awaited beside the next attempt, since a node
+/// that is only slow may run it; the first response of a worker wins.
+struct silent_attempt {
+    std::size_t attempt = 0; ///< its number
+    member_id endpoint = 0;
+    std::uint64_t upstream = 0;
+    bool refused = false; ///< a response other than a worker's success has arrived
+};
+
 /// State of a call from its arrival to its end: the client's request, the document that applies to it, and
 /// the current attempt.
 struct call_proxy::call {
@@ -26,6 +35,7 @@
     const service_contract* service = nullptr;
     bool non_idempotent = false;
     bool inside_retry = false;
+    std::uint32_t priority = 0; ///< of the route, or that of nested calls
     std::uint32_t max_attempts = 1;
     std::size_t reached_attempts = 0; ///< attempts that may have reached a worker
     bool may_have_run = false;        ///< at one of those workers
@@ -44,9 +54,11 @@
     bool granted = false;         ///< the claim is granted and not settled yet
     bool was_granted = false;     ///< the claim was granted, so no earlier request with the same key ran
     std::vector<member_id> attempted_endpoints;
-    member_id endpoint = 0;
+    member_id endpoint = 0; ///< of the current attempt, like the members below
+    std::size_t attempt = 0; ///< its number, from 1
     std::uint64_t upstream = 0;
     bool attempt_in_progress = false;
+    std::optional<silent_attempt> silent; ///< beside the current attempt
     bool refused = false;        ///< the worker's node refused the current attempt
     bool past_objective = false; ///< at the start of the current attempt
     bool crashed = false;        ///< the worker's node saw the worker crash during the current attempt
--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -5,6 +5,7 @@
 
 #include "inbound_request.h"
 #include "waxwingfall/call/call_decisions.h"
+#include "waxwingfall/call/nested_calls.h"
 
 namespace waxwingfall {
 
@@ -23,16 +24,9 @@
 /// Reads priority and remaining latency objective from the headers set by the client's node.
 waiting_request read_urgency(evhttp_request* raw, std::uint64_t id, time_point deadline, time_point now) {
     const auto number = [&](const char* name) { return leading_number(request_header(raw, name)); };
-    waiting_request waiting{id, deadline, number(call_header::priority).value_or(0), std::nullopt, false};
-    const auto objective = number(call_header::objective_ms);
-    // Requests of priority 0, the most urgent, are calls made by requests that already run: a late response
-    // is better than none, so they have no objective.
-    if (objective && waiting.priority > 0) {
-        waiting.past_objective = *objective == 0;
-        waiting.objective =
-            waiting.past_objective ? std::nullopt : std::optional(now + milliseconds(*objective));
-    }
-    return waiting;
+    const auto objective_ms = number(call_header::objective_ms);
+    return make_waiting_request(id, deadline, number(call_header::priority).value_or(nested_call_priority),
+                                objective_ms ? std::optional(milliseconds(*objective_ms)) : std::nullopt, now);
 }
 
 } // namespace
@@ -157,6 +151,8 @@
         return;
     }
     started.running = true;
+    started.run_id = header_value(started.received.request.headers, platform::header::attempt_id);
+    track_run(node_.running, started.run_id);
     started.started_at = now;
     node_.counts.admitted += 1;
     http_request sent = started.received.request;
@@ -171,9 +167,9 @@
     };
     callbacks.on_data = [this, id](evbuffer* data) { on_data(id, data); };
     callbacks.on_end = [this, id](upstream_end end) { on_end(id, end); };
-    const std::string attempt = header_value(sent.headers, platform::header::attempt_id);
-    const auto echo =
-        attempt.empty() ? std::nullopt : std::optional(http_header{platform::header::attempt_id, attempt});
+    const auto echo = started.run_id.empty()
+                          ? std::nullopt
+                          : std::optional(http_header{platform::header::attempt_id, started.run_id});
     started.upstream =
         worker_.send(node_.settings.worker, sent, {milliseconds(remaining_ms), echo, milliseconds(0)},
                      std::move(callbacks));
@@ -297,6 +293,7 @@
         settle_large_response(link_, removed->response_bytes);
     }
     if (removed->running) {
+        untrack_run(node_.running, removed->run_id);
         const milliseconds ran(std::max<std::int64_t>(1, elapsed_ms(removed->started_at, now)));
         apply_queue_update(release_slot(admission_, ran, now, removed->urgency.priority));
     } else {
--- a/lib/node/inbound_request.h
+++ b/lib/node/inbound_request.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 #include "waxwingfall/node/inbound_proxy.h"
 
@@ -18,6 +19,7 @@
     time_point started_at;
     std::uint64_t upstream = 0;
     bool running = false;
+    std::string run_id; ///< of the request while it runs; empty if it has none
     bool worker_refused = false;
     bool large_response = false; ///< holds a reservation in `link_`
     std::size_t response_bytes = 0;
--- a/lib/node/upstream.cpp
+++ b/lib/node/upstream.cpp
@@ -159,15 +159,18 @@
     if (found == active_.end() || found->second->conn->acknowledged) {
         return;
     }
-    active_request& unacknowledged = *found->second;
-    const milliseconds extension = unacknowledged.callbacks.on_acknowledgement_overdue
-                                       ? unacknowledged.callbacks.on_acknowledgement_overdue()
-                                       : milliseconds(0);
+    // Copied because the callback may cancel the request, which destroys it.
+    const auto on_overdue = found->second->callbacks.on_acknowledgement_overdue;
+    const milliseconds extension = on_overdue ? on_overdue() : milliseconds(0);
+    const auto still_waiting = active_.find(id);
+    if (still_waiting == active_.end()) {
+        return;
+    }
     if (extension.count() > 0) {
-        await_acknowledgement(unacknowledged, extension);
+        await_acknowledgement(*still_waiting->second, extension);
         return;
     }
-    finish(unacknowledged, upstream_end::unacknowledged);
+    finish(*still_waiting->second, upstream_end::unacknowledged);
 }
 
 void upstream_pool::finish(active_request& request, upstream_end end) {
--- a/unittests/call/simulated_service.h
+++ b/unittests/call/simulated_service.h
@@ -80,11 +80,9 @@
             tracks_retries_ ? first_received(retry_tracker_, fingerprint, deadline, now_) : now_;
         const time_point objective_end = first + sender.load.objective;
         outcome_.sent += sender.retries_left == sender.load.retries ? 1 : 0;
-        waiting_request request{id, deadline, sender.load.priority, objective_end};
-        if (now_ >= objective_end) {
-            request.objective = std::nullopt;
-            request.past_objective = true;
-        }
+        const milliseconds objective_left(std::max<std::int64_t>(0, elapsed_ms(now_, objective_end)));
+        const waiting_request request =
+            make_waiting_request(id, deadline, sender.load.priority, objective_left, now_);
         const admission_verdict verdict = admit(admission_, request, now_);
         apply(process_queue(admission_, now_));
         if (verdict == admission_verdict::run) {
