Client retries that miss their objective are queued late through a burst; no send delay on accepted connections

A client's second attempt was refused again although it could be served late. It is queued behind timely requests, unless the overload has lasted so long that it would not end before its deadline.

Accepted connections had Nagle's algorithm on: a response waited until the interim response before it was acknowledged, up to 40 ms.

--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -20,6 +20,7 @@
     /// End of its latency objective; unset if only the deadline counts.
     std::optional<time_point> objective{};
     bool past_objective = false; ///< the objective can't be met any more; requests within theirs start first
+    bool is_client_retry = false; ///< an earlier attempt was refused; a late response is better than none
     auto operator<=>(const waiting_request&) const = default;
 };
 
@@ -27,7 +28,8 @@
 /// passed, nothing if the request has none. For requests of `nested_call_priority` only the deadline counts,
 /// since a late response to them is better than none.
 waiting_request make_waiting_request(std::uint64_t id, time_point deadline, std::uint32_t priority,
-                                     std::optional<milliseconds> objective_left, time_point now);
+                                     std::optional<milliseconds> objective_left, bool is_client_retry,
+                                     time_point now);
 
 /// Mean and mean deviation of run times, both exponentially weighted.
 struct run_time_stats {
@@ -61,7 +63,8 @@
 /// The decision on an arriving request.
 enum class admission_verdict : std::uint8_t { run, wait, refuse_overloaded, refuse_deadline, refuse_leaving };
 
-/// Admits a request, queues it, or refuses it if the queue is full or it would complete too late. Displaces
+/// Admits a request, queues it, or refuses it if the queue is full or it would complete too late. A client's
+/// retry that can't meet its objective any more is queued behind the requests that can. Displaces
 /// less urgent requests that would now complete too late or for which the queue has no room.
 admission_verdict admit(admission& state, const waiting_request& request, time_point now);
 
--- a/include/waxwingfall/node/call_headers.h
+++ b/include/waxwingfall/node/call_headers.h
@@ -30,6 +30,8 @@
 inline constexpr const char* priority = "X-Waxwingfall-Priority"; ///< between nodes: priority of the route
 inline constexpr const char* objective_ms =
     "X-Waxwingfall-Goal-Ms"; ///< between nodes: remaining latency objective, 0 once it has passed
+inline constexpr const char* client_retry =
+    "X-Waxwingfall-Client-Retry"; ///< between nodes: 1 if an earlier attempt of the client was refused
 inline constexpr const char* large_response =
     "X-Waxwingfall-Large-Answer"; ///< between nodes: 1 for download routes
 inline constexpr const char* pause_ms =
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -84,6 +84,17 @@
     return static_cast<std::size_t>(position - state.waiting.begin());
 }
 
+/// A client's retry that would miss its objective, as a request past it; any other request as it is.
+waiting_request as_late_if_late(const admission& state, const waiting_request& request, time_point now) {
+    waiting_request late = request;
+    if (request.is_client_retry && request.objective &&
+        would_end_too_late(state, request, count_ahead(state, request), now)) {
+        late.objective = std::nullopt;
+        late.past_objective = true;
+    }
+    return late;
+}
+
 /// True if a request would be the only waiting one of the least urgent priority. One place in the queue is
 /// reserved for such a request.
 bool is_only_least_urgent(const admission& state, std::uint32_t priority) {
@@ -125,8 +136,9 @@
 } // namespace
 
 waiting_request make_waiting_request(std::uint64_t id, time_point deadline, std::uint32_t priority,
-                                     std::optional<milliseconds> objective_left, time_point now) {
-    waiting_request request{id, deadline, priority, std::nullopt, false};
+                                     std::optional<milliseconds> objective_left, bool is_client_retry,
+                                     time_point now) {
+    waiting_request request{id, deadline, priority, std::nullopt, false, is_client_retry};
     if (!objective_left || priority == nested_call_priority) {
         return request;
     }
@@ -137,17 +149,18 @@
     return request;
 }
 
-admission_verdict admit(admission& state, const waiting_request& request, time_point now) {
+admission_verdict admit(admission& state, const waiting_request& arrived, time_point now) {
     if (state.leaving) {
         return admission_verdict::refuse_leaving;
     }
-    if (now >= request.deadline) {
+    if (now >= arrived.deadline) {
         return admission_verdict::refuse_deadline;
     }
     if (state.running < state.slots && state.waiting.empty()) {
         state.running += 1;
         return admission_verdict::run;
     }
+    const waiting_request request = as_late_if_late(state, arrived, now);
     const std::size_t ahead = count_ahead(state, request);
     const bool is_full = state.waiting.size() >= state.queue_limit;
     const bool has_reserved_place = state.queue_limit > 1 && !request.past_objective &&
--- a/lib/link/http.cpp
+++ b/lib/link/http.cpp
@@ -108,6 +108,9 @@
     if (socket_ == nullptr) {
         throw std::runtime_error("can't bind " + address.host + ":" + std::to_string(address.port));
     }
+    // Accepted connections inherit the option. An interim response would delay the final one until the peer
+    // acknowledges it, which takes up to 40 ms.
+    disable_send_delay(evhttp_bound_socket_get_fd(socket_));
     evhttp_set_gencb(
         http_.get(),
         [](evhttp_request* request, void* context) {
--- a/lib/link/socket_options.cpp
+++ b/lib/link/socket_options.cpp
@@ -29,8 +29,12 @@
     return result;
 }
 
-void set_stream_options(evutil_socket_t socket) {
+void disable_send_delay(evutil_socket_t socket) {
     set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+void set_stream_options(evutil_socket_t socket) {
+    disable_send_delay(socket);
     set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
--- a/lib/node/call_attempts.cpp
+++ b/lib/node/call_attempts.cpp
@@ -74,6 +74,9 @@
     if (objective) {
         set_header(sent.headers, call_header::objective_ms, std::to_string(objective->count()));
     }
+    if (placed.first_received != placed.received_at) {
+        set_header(sent.headers, call_header::client_retry, "1");
+    }
     if (placed.route->kind == request_kind::download) {
         set_header(sent.headers, call_header::large_response, "1");
     }
--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -26,7 +26,8 @@
     const auto number = [&](const char* name) { return leading_number(request_header(raw, name)); };
     const auto objective_ms = number(call_header::objective_ms);
     return make_waiting_request(id, deadline, number(call_header::priority).value_or(nested_call_priority),
-                                objective_ms ? std::optional(milliseconds(*objective_ms)) : std::nullopt, now);
+                                objective_ms ? std::optional(milliseconds(*objective_ms)) : std::nullopt,
+                                number(call_header::client_retry).value_or(0) != 0, now);
 }
 
 } // namespace
--- a/unittests/call/simulated_service.h
+++ b/unittests/call/simulated_service.h
@@ -82,7 +82,7 @@
         outcome_.sent += sender.retries_left == sender.load.retries ? 1 : 0;
         const milliseconds objective_left(std::max<std::int64_t>(0, elapsed_ms(now_, objective_end)));
         const waiting_request request =
-            make_waiting_request(id, deadline, sender.load.priority, objective_left, now_);
+            make_waiting_request(id, deadline, sender.load.priority, objective_left, first != now_, now_);
         const admission_verdict verdict = admit(admission_, request, now_);
         apply(process_queue(admission_, now_));
         if (verdict == admission_verdict::run) {
