Placement counts the transit time to each node and spreads large request bodies over links

Cause: uploads fill 0.7 of the links of the surveys machines, most on those with fast workers; half of the requests took over 0.2 s to reach eight of ten nodes, 1.1 s the worst. Bookings wait there for their calls, lookups for bookings.

Change: an endpoint's expected finish includes the latest measured transit, and for large bodies the expected wait for its link.

--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -19,14 +19,14 @@
     std::uint32_t priority = 0; ///< 0 is the most urgent
     /// End of its latency objective; unset if only the deadline counts.
     std::optional<time_point> objective{};
-    bool past_objective = false; ///< the objective can't be met any more; requests within theirs start first
+    bool past_objective = false;  ///< the objective can't be met any more; requests within theirs start first
     bool is_client_retry = false; ///< an earlier attempt was refused; a late response is better than none
     auto operator<=>(const waiting_request&) const = default;
 };
 
-/// The queue entry of a request that arrives at `now` with this much of its latency objective left: 0 if it has
-/// passed, nothing if the request has none. For requests of `nested_call_priority` only the deadline counts,
-/// since a late response to them is better than none.
+/// The queue entry of a request that arrives at `now` with this much of its latency objective left: 0 if it
+/// has passed, nothing if the request has none. For requests of `nested_call_priority` only the deadline
+/// counts, since a late response to them is better than none.
 waiting_request make_waiting_request(std::uint64_t id, time_point deadline, std::uint32_t priority,
                                      std::optional<milliseconds> objective_left, bool is_client_retry,
                                      time_point now);
@@ -42,9 +42,9 @@
 /// request is known not to have run. Under load beyond the worker's capacity, urgent requests start first and
 /// displace others, and a request that can't complete in time is refused on arrival instead of being
 /// queued. Within a priority, requests past their objective run only when no other waits: this serves as many
-/// requests, and more of them in time. They are queued through a burst, after which there is room for them, and
-/// refused in a long overload, which would keep them until their deadline: an overload is expected to last as
-/// long again as it has lasted so far.
+/// requests, and more of them in time. They are queued through a burst, after which there is room for them,
+/// and refused in a long overload, which would keep them until their deadline: an overload is expected to
+/// last as long again as it has lasted so far.
 struct admission {
     std::uint32_t slots = 1;
     std::uint32_t queue_limit = 0;
--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -48,9 +48,9 @@
 /// be over.
 double retry_after_s(const retry_after_inputs& inputs, random_source& random);
 
-/// Time within which the worker's node must acknowledge a request; after it, another node is attempted as well.
-/// 0 if there is no limit: no other node can take over a request that may run only once, so it is awaited until
-/// its deadline, or until its connection breaks. Its body may take seconds on a saturated link.
+/// Time within which the worker's node must acknowledge a request; after it, another node is attempted as
+/// well. 0 if there is no limit: no other node can take over a request that may run only once, so it is
+/// awaited until its deadline, or until its connection breaks. Its body may take seconds on a saturated link.
 milliseconds acknowledgement_timeout(bool non_idempotent);
 
 /// Further wait for a request that its node has not acknowledged after `waited`; 0 to give it up. A node that
--- a/include/waxwingfall/call/link_share.h
+++ b/include/waxwingfall/call/link_share.h
@@ -19,6 +19,9 @@
 /// The limit for a link of `link_mbps` megabits a second; no limit if that is 0.
 link_share share_of_link(double link_mbps);
 
+/// Time that `bytes` take on a link of `link_mbps` megabits a second; 0 if that is 0.
+milliseconds time_on_link(std::size_t bytes, double link_mbps);
+
 /// True if a request with a large response may run now; reserves its expected size.
 bool admit_large_response(link_share& share, time_point now);
 
--- a/include/waxwingfall/call/nested_calls.h
+++ b/include/waxwingfall/call/nested_calls.h
@@ -16,7 +16,8 @@
 inline constexpr std::uint32_t nested_call_priority = 0;
 
 /// Ids of the requests that the local worker runs, each with the number of its runs. Calls that the worker
-/// makes on behalf of a request carry an id that extends the request's: the request's id, a dot, and a suffix.
+/// makes on behalf of a request carry an id that extends the request's: the request's id, a dot, and a
+/// suffix.
 struct running_requests {
     std::map<std::string, std::size_t, std::less<>> runs;
     auto operator<=>(const running_requests&) const = default;
--- a/include/waxwingfall/call/routing.h
+++ b/include/waxwingfall/call/routing.h
@@ -27,6 +27,9 @@
     std::uint32_t healthy_floor_percent = 50;
     milliseconds slow_start{10000};   ///< time over which a new endpoint reaches its full share
     milliseconds load_lifetime{2000}; ///< after which a reported load is ignored
+    /// Time after which a measured transit time is ignored, so that an endpoint whose link was saturated is
+    /// attempted again.
+    milliseconds transit_lifetime{3000};
     /// Time after which a reported run time is ignored; cold workers warm up in this time.
     milliseconds run_time_lifetime{3000};
     milliseconds max_refusal_pause{100}; ///< longest time for which an endpoint that refused is skipped
@@ -52,6 +55,10 @@
     time_point reported_at;
     std::uint32_t in_flight_at_report = 0;
     double mean_run_ms = 0;   ///< as the endpoint reports it; 0 while unknown
+    milliseconds transit{0};  ///< until its node acknowledged the latest call that it acknowledged
+    time_point transit_at;    ///< when that was; measured values expire
+    double transfer_ms = 0;   ///< time for which this node's calls occupied its link, decaying
+    time_point transfer_at;   ///< when `transfer_ms` was last updated
     double failure_share = 0; ///< of the latest attempts, exponentially weighted
     time_point unreachable_until;
     std::uint32_t unreachable_count = 0; ///< times in a row that it was unreachable
@@ -109,6 +116,18 @@
 void end_attempt(routing_table& table, const std::string& service, member_id id, attempt_result result,
                  const endpoint_report& report, time_point now);
 
+/// Records the time from sending a call until the endpoint's node acknowledged it. It grows with the queue on
+/// the node's link and with the node's own lag, which the load of its worker does not show.
+void record_transit(routing_table& table, const std::string& service, member_id id, milliseconds transit,
+                    time_point now);
+
+/// Records that a call starts to occupy the endpoint's link with its request body, for this long.
+void record_transfer(routing_table& table, const std::string& service, member_id id, milliseconds on_link,
+                     time_point now);
+
+/// The share of an endpoint's link that request bodies occupy if all nodes send as many to it as this one.
+double link_share_used(const routing_table& table, const endpoint& target, time_point now);
+
 /// The endpoint of a service, or null.
 const endpoint* find_endpoint(const routing_table& table, const std::string& service, member_id id);
 
--- a/include/waxwingfall/node/upstream.h
+++ b/include/waxwingfall/node/upstream.h
@@ -36,6 +36,8 @@
     std::function<void(int status, const std::vector<http_header>& headers)> on_headers;
     std::function<void(evbuffer* data)> on_data;
     std::function<void(upstream_end end)> on_end;
+    /// Called at most once, when the peer acknowledges the request, by an interim or the final response.
+    std::function<void()> on_acknowledged{};
     /// Called when an acknowledgement is overdue. Returns how much longer to wait for it, or 0 to end the
     /// request as unacknowledged. If not set, the first overdue acknowledgement ends the request.
     std::function<milliseconds()> on_acknowledgement_overdue{};
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -16,8 +16,8 @@
 constexpr std::uint32_t starts_per_least_urgent_start = 8;
 
 /// Longest expected wait, before the run itself, with which a request past its objective is queued however
-/// long the overload lasts: a fraction of a usual run. Requests within their objective overtake it, so a longer
-/// wait would mostly end in a refusal.
+/// long the overload lasts: a fraction of a usual run. Requests within their objective overtake it, so a
+/// longer wait would mostly end in a refusal.
 constexpr milliseconds max_wait_past_objective{100};
 
 /// Margin required beyond the mean run time, in mean deviations. Without it, half of the requests admitted
@@ -59,7 +59,8 @@
 
 /// True if a request past its objective would end before its deadline although requests within theirs keep
 /// overtaking it until the overload is over.
-bool outlasts_overload(const admission& state, const waiting_request& request, time_point end, time_point now) {
+bool outlasts_overload(const admission& state, const waiting_request& request, time_point end,
+                       time_point now) {
     const auto lasted = now - state.saturated_since.value_or(now);
     return request.past_objective && end + lasted <= request.deadline;
 }
--- a/lib/call/call_decisions.cpp
+++ b/lib/call/call_decisions.cpp
@@ -10,8 +10,8 @@
 /// node with a fifth of a core takes about 50 ms under load to read a request.
 constexpr milliseconds retryable_acknowledgement_timeout{400};
 
-/// Time without an acknowledgement after which an idempotent request that no other attempt follows is given up.
-/// Nodes with a tenth of a core lagged by 0.3 s, and by 0.7 s with a saturated link.
+/// Time without an acknowledgement after which an idempotent request that no other attempt follows is given
+/// up. Nodes with a tenth of a core lagged by 0.3 s, and by 0.7 s with a saturated link.
 constexpr milliseconds final_acknowledgement_timeout{1500};
 
 } // namespace
--- a/lib/call/link_share.cpp
+++ b/lib/call/link_share.cpp
@@ -26,6 +26,13 @@
     return share;
 }
 
+milliseconds time_on_link(std::size_t bytes, double link_mbps) {
+    constexpr double ms_per_s = 1000.0;
+    const double bytes_per_ms = link_mbps * bytes_per_megabit / ms_per_s;
+    return milliseconds(
+        bytes_per_ms > 0 ? static_cast<std::int64_t>(static_cast<double>(bytes) / bytes_per_ms) : 0);
+}
+
 bool admit_large_response(link_share& share, time_point now) {
     if (share.bytes_per_s <= 0) {
         return true;
--- a/lib/call/placement.cpp
+++ b/lib/call/placement.cpp
@@ -121,7 +121,21 @@
     std::size_t index_ = 0;
 };
 
-/// Expected milliseconds until an endpoint responds, including the cost of its failures and its distance.
+/// Upper bound of the share of a link that is assumed to be in use, so that the expected wait stays finite.
+constexpr double max_link_share = 0.99;
+
+/// Expected wait of a request body for a link that others of the same size use at random times.
+double link_wait_ms(const routing_table& table, const endpoint& candidate, milliseconds on_link,
+                    time_point now) {
+    if (on_link == milliseconds(0)) {
+        return 0;
+    }
+    const double used = std::min(max_link_share, link_share_used(table, candidate, now));
+    return static_cast<double>(on_link.count()) * used / (1 - used) / 2;
+}
+
+/// Expected milliseconds until an endpoint responds, including its transit time, the cost of its failures,
+/// and its distance.
 double expected_finish_ms(const routing_table& table, const endpoint& candidate, double typical_run,
                           bool large_response, time_point now) {
     const double run = has_recent_run_time(table, candidate, now) ? candidate.mean_run_ms : typical_run;
@@ -135,6 +149,9 @@
     const double wait = std::max(0.0, load + 1 - slots) / slots * run;
     double expected =
         wait + run * (1 + load_slowdown * load / slots) + candidate.failure_share * failure_cost_ms;
+    if (now - candidate.transit_at <= table.policy.transit_lifetime) {
+        expected += static_cast<double>(candidate.transit.count());
+    }
     if (candidate.data_centre != table.data_centre) {
         expected += large_response ? large_cross_data_centre_ms : cross_data_centre_ms;
     }
@@ -186,7 +203,7 @@
             1 + jitter * static_cast<double>(random_below(random, steps)) / static_cast<double>(steps);
         const double expected =
             (expected_finish_ms(table, candidate, typical_run, inputs.large_response, now) +
-             preference_cost_ms) *
+             link_wait_ms(table, candidate, inputs.on_link, now) + preference_cost_ms) *
             factor;
         if (expected < least) {
             least = expected;
--- a/lib/call/routing.cpp
+++ b/lib/call/routing.cpp
@@ -1,6 +1,8 @@
 #include "waxwingfall/call/routing.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace waxwingfall {
 
@@ -13,6 +15,14 @@
 /// Weight of the latest attempt in an endpoint's share of failures.
 constexpr double failure_weight = 0.15;
 
+/// Time constant with which recorded transfers decay.
+constexpr milliseconds transfer_memory{2000};
+
+double remaining_transfer_ms(const endpoint& target, time_point now) {
+    const auto age = static_cast<double>(elapsed_ms(target.transfer_at, now));
+    return target.transfer_ms * std::exp(-age / static_cast<double>(transfer_memory.count()));
+}
+
 /// Records that an endpoint was unreachable. If two endpoints of another data centre, of any service, are
 /// unreachable, that data centre is considered partitioned from this one.
 void record_unreachable(routing_table& table, const std::string& service, endpoint& target, time_point now) {
@@ -245,6 +255,33 @@
     }
 }
 
+void record_transit(routing_table& table, const std::string& service, member_id id, milliseconds transit,
+                    time_point now) {
+    endpoint* target = mutable_endpoint(table, service, id);
+    if (target == nullptr) {
+        return;
+    }
+    target->transit = transit;
+    target->transit_at = now;
+}
+
+void record_transfer(routing_table& table, const std::string& service, member_id id, milliseconds on_link,
+                     time_point now) {
+    if (endpoint* target = mutable_endpoint(table, service, id)) {
+        target->transfer_ms = remaining_transfer_ms(*target, now) + static_cast<double>(on_link.count());
+        target->transfer_at = now;
+    }
+}
+
+double link_share_used(const routing_table& table, const endpoint& target, time_point now) {
+    // Each node has one endpoint, that of its worker.
+    const auto nodes =
+        std::accumulate(table.services.begin(), table.services.end(), std::size_t{0},
+                        [](std::size_t sum, const auto& service) { return sum + service.second.size(); });
+    return remaining_transfer_ms(target, now) / static_cast<double>(transfer_memory.count()) *
+           static_cast<double>(nodes);
+}
+
 const endpoint* find_endpoint(const routing_table& table, const std::string& service, member_id id) {
     const auto group = table.services.find(service);
     if (group == table.services.end()) {
--- a/lib/node/call_attempts.cpp
+++ b/lib/node/call_attempts.cpp
@@ -2,6 +2,7 @@
 
 #include "call_state.h"
 #include "waxwingfall/call/call_decisions.h"
+#include "waxwingfall/call/link_share.h"
 #include "waxwingfall/call/placement.h"
 
 namespace waxwingfall {
@@ -64,6 +65,8 @@
     node_.counts.attempts += 1;
     node_.counts.retries += is_retry ? 1 : 0;
     begin_attempt(node_.routing, service, *endpoint);
+    record_transfer(node_.routing, service, *endpoint,
+                    time_on_link(placed.received.request.body.size(), node_.settings.link_mbps), now);
     http_request sent = placed.received.request;
     const auto remaining_ms = std::max<std::int64_t>(1, elapsed_ms(now, placed.deadline));
     set_header(sent.headers, call_header::deadline_ms, std::to_string(remaining_ms));
@@ -90,8 +93,8 @@
     upstream_options options;
     options.timeout = milliseconds(remaining_ms) + deadline_margin;
     options.acknowledged_within = acknowledgement_timeout(placed.non_idempotent);
-    placed.upstream = workers_.send(address.value_or(ip_address{}), sent, options,
-                                    make_callbacks(id, placed.attempt, now));
+    placed.upstream =
+        workers_.send(address.value_or(ip_address{}), sent, options, make_callbacks(id, placed.attempt, now));
 }
 
 upstream_callbacks call_proxy::make_callbacks(std::uint64_t id, std::size_t attempt, time_point sent_at) {
@@ -117,9 +120,13 @@
             calls_.at(id)->silent.reset();
         }
     };
+    callbacks.on_acknowledged = [this, id, sent_at, endpoint = calls_.at(id)->endpoint] {
+        const time_point now = monotonic_now();
+        record_transit(node_.routing, calls_.at(id)->service->name, endpoint,
+                       milliseconds(elapsed_ms(sent_at, now)), now);
+    };
     callbacks.on_acknowledgement_overdue = [this, id, attempt, sent_at] {
-        return on_acknowledgement_overdue(id, attempt,
-                                          milliseconds(elapsed_ms(sent_at, monotonic_now())));
+        return on_acknowledgement_overdue(id, attempt, milliseconds(elapsed_ms(sent_at, monotonic_now())));
     };
     return callbacks;
 }
@@ -136,6 +143,7 @@
     if (!is_current(id, attempt)) {
         return remaining;
     }
+    record_transit(node_.routing, waiting.service->name, waiting.endpoint, waited, now);
     if (waiting.silent || !can_try_another_endpoint(waiting, now) ||
         !may_retry(waiting, waiting.reached_attempts + 1, now)) {
         return acknowledgement_extension(waited, false, remaining);
@@ -152,9 +160,8 @@
 
 void call_proxy::on_silent_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     call& active = *calls_.at(id);
-    const bool is_success =
-        header_value(headers, call_header::outcome) == outcome_name(outcome::done) &&
-        status < first_server_error;
+    const bool is_success = header_value(headers, call_header::outcome) == outcome_name(outcome::done) &&
+                            status < first_server_error;
     if (!is_success || active.client->has_started()) {
         active.silent->refused = true;
         return;
@@ -196,9 +203,13 @@
     if (node_.routing.policy.rule != pick_rule::expected_finish) {
         return pick_endpoint(node_.routing, service, placed.attempted_endpoints, now, node_.random);
     }
-    const placement_inputs inputs{service, placed.attempted_endpoints, placed.priority,
-                                  placed.route->kind == request_kind::download,
-                                  remaining_objective(placed, now) == milliseconds(0)};
+    const placement_inputs inputs{
+        service,
+        placed.attempted_endpoints,
+        placed.priority,
+        placed.route->kind == request_kind::download,
+        remaining_objective(placed, now) == milliseconds(0),
+        time_on_link(placed.received.request.body.size(), node_.settings.link_mbps)};
     return place_call(node_.routing, inputs, now, node_.random);
 }
 
--- a/lib/node/call_state.h
+++ b/lib/node/call_state.h
@@ -54,14 +54,14 @@
     bool granted = false;         ///< the claim is granted and not settled yet
     bool was_granted = false;     ///< the claim was granted, so no earlier request with the same key ran
     std::vector<member_id> attempted_endpoints;
-    member_id endpoint = 0; ///< of the current attempt, like the members below
+    member_id endpoint = 0;  ///< of the current attempt, like the members below
     std::size_t attempt = 0; ///< its number, from 1
     std::uint64_t upstream = 0;
     bool attempt_in_progress = false;
     std::optional<silent_attempt> silent; ///< beside the current attempt
-    bool refused = false;        ///< the worker's node refused the current attempt
-    bool past_objective = false; ///< at the start of the current attempt
-    bool crashed = false;        ///< the worker's node saw the worker crash during the current attempt
+    bool refused = false;                 ///< the worker's node refused the current attempt
+    bool past_objective = false;          ///< at the start of the current attempt
+    bool crashed = false; ///< the worker's node saw the worker crash during the current attempt
     error_kind refusal = error_kind::overloaded;
     endpoint_report report;
     int status = 0; ///< of the response to forward; 0 if there is none yet
--- a/lib/node/upstream.cpp
+++ b/lib/node/upstream.cpp
@@ -53,6 +53,7 @@
     http_request request;
     upstream_options options;
     loop_event acknowledgement_due;
+    bool acknowledgement_reported = false;
     upstream_callbacks callbacks;
     std::shared_ptr<connection> conn;
 };
@@ -280,6 +281,12 @@
 void upstream_pool::deliver(connection& conn, bool is_malformed) {
     const std::uint64_t id = conn.current;
     const auto is_open = [&] { return active_.contains(id); };
+    if (is_open() && conn.acknowledged && !active_.at(id)->acknowledgement_reported) {
+        active_.at(id)->acknowledgement_reported = true;
+        if (active_.at(id)->callbacks.on_acknowledged) {
+            active_.at(id)->callbacks.on_acknowledged();
+        }
+    }
     if (is_open() && conn.headers_ready && !conn.headers_delivered) {
         conn.headers_delivered = true;
         active_.at(id)->callbacks.on_headers(static_cast<int>(conn.parser.status_code), conn.headers);
--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -344,16 +344,16 @@
     EXPECT_FALSE(is_retry_allowed({0, 3, false, later, false, max_attempts_per_call}, start));
 }
 
-// Guards against giving up a request that still runs: the body of an upload took 2 s on a saturated link; given
-// up after 1.5 s, it ran although its client had been notified of a failure.
+// Guards against giving up a request that still runs: the body of an upload took 2 s on a saturated link;
+// given up after 1.5 s, it ran although its client had been notified of a failure.
 TEST(Acknowledgement, NonIdempotentRequestIsAwaitedUntilItsDeadline) {
     EXPECT_EQ(acknowledgement_timeout(true), milliseconds(0));
     EXPECT_GT(acknowledgement_timeout(false), milliseconds(0));
     EXPECT_LT(acknowledgement_timeout(false), milliseconds(500));
 }
 
-// Guards against giving up a silent attempt for another one that may be refused: a lookup ran after 0.4 s at a
-// node that was shutting down, while the other node refused the connection, and its client got a 502.
+// Guards against giving up a silent attempt for another one that may be refused: a lookup ran after 0.4 s at
+// a node that was shutting down, while the other node refused the connection, and its client got a 502.
 TEST(Acknowledgement, SilentAttemptIsAwaitedBesideTheNextOne) {
     const milliseconds first = acknowledgement_timeout(false);
     EXPECT_EQ(acknowledgement_extension(first, true, milliseconds(2600)), milliseconds(2600));
@@ -367,7 +367,8 @@
     constexpr milliseconds observed_lag{700};
     const milliseconds first = acknowledgement_timeout(false);
     EXPECT_GE(first + acknowledgement_extension(first, false, milliseconds(2600)), 2 * observed_lag);
-    EXPECT_EQ(acknowledgement_extension(2 * observed_lag + first, false, milliseconds(2600)), milliseconds(0));
+    EXPECT_EQ(acknowledgement_extension(2 * observed_lag + first, false, milliseconds(2600)),
+              milliseconds(0));
 }
 
 // After a restart of all nodes, a node makes its first call when it knows two of eighty others.
