--- a/lib/node/upstream.cpp
+++ b/lib/node/upstream.cpp
@@ -16,6 +16,10 @@
 constexpr std::uint32_t max_response_header_bytes = 64U * 1024;
 constexpr std::int64_t ms_per_s = 1000;
 
+/// Bytes of interim responses and of responses to earlier requests that are skipped before the response to a
+/// request; after more, the peer is broken. Responses of the known deployments have up to 1 MB.
+constexpr std::size_t max_unrelated_bytes = 4UL * 1024 * 1024;
+
 /// Subtracted from the idle timeout that the peer advertises: a request sent while the peer closes the
 /// connection may be lost.
 constexpr milliseconds idle_margin{1000};
@@ -102,6 +106,7 @@
     conn.current = id;
     conn.echo = options.echo;
     conn.acknowledged = false;
+    conn.unrelated_bytes = 0;
     conn.is_head = request.method == EVHTTP_REQ_HEAD;
     conn.headers_ready = false;
     conn.headers_delivered = false;
@@ -273,7 +278,8 @@
                                                      static_cast<const char*>(piece.iov_base), piece.iov_len);
         const http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
         evbuffer_drain(input, used);
-        is_malformed = error != HPE_OK && error != HPE_PAUSED;
+        conn->unrelated_bytes += conn->is_current_response ? 0 : used;
+        is_malformed = (error != HPE_OK && error != HPE_PAUSED) || conn->unrelated_bytes > max_unrelated_bytes;
     }
     pool.deliver(*conn, is_malformed);
 }
--- a/lib/node/upstream_connection.h
+++ b/lib/node/upstream_connection.h
@@ -32,7 +32,8 @@
     bool headers_ready = false;
     bool headers_delivered = false;
     bool complete = false;
-    bool acknowledged = false; ///< response headers for the request have arrived, interim or final
+    std::size_t unrelated_bytes = 0; ///< received for `current` before the response to it
+    bool acknowledged = false;       ///< response headers for the request have arrived, interim or final
     std::string field;
     std::string value;
     bool in_value = false;
--- a/unittests/call/simulated_service.h
+++ b/unittests/call/simulated_service.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "waxwingfall/call/admission.h"
 #include "waxwingfall/call/call_decisions.h"
@@ -48,12 +49,22 @@
     }
 
     simulated_outcome simulate(const simulated_load& load, milliseconds length) {
+        return simulate_together({load}, length).front();
+    }
+
+    /// Simulates several loads at once and returns the outcome of each.
+    std::vector<simulated_outcome> simulate_together(const std::vector<simulated_load>& loads,
+                                                     milliseconds length) {
+        outcomes_.resize(loads.size());
         for (milliseconds at{0}; at < length; at += milliseconds(1)) {
-            constexpr std::uint64_t ms_per_s = 1000;
-            if (random_below(random_, ms_per_s) < load.requests_per_s) {
-                const std::uint64_t id = next_id_++;
-                requests_.emplace(id, client{load, time_point() + at, load.retries});
-                events_.emplace(time_point() + at, [this, id] { attempt(id); });
+            for (std::size_t stream = 0; stream < loads.size(); ++stream) {
+                constexpr std::uint64_t ms_per_s = 1000;
+                if (random_below(random_, ms_per_s) < loads[stream].requests_per_s) {
+                    const std::uint64_t id = next_id_++;
+                    requests_.emplace(
+                        id, client{loads[stream], stream, time_point() + at, loads[stream].retries});
+                    events_.emplace(time_point() + at, [this, id] { attempt(id); });
+                }
             }
         }
         while (!events_.empty()) {
@@ -62,12 +73,13 @@
             events_.erase(events_.begin());
             event();
         }
-        return outcome_;
+        return outcomes_;
     }
 
 private:
     struct client {
         simulated_load load;
+        std::size_t stream = 0; ///< position of its load
         time_point first_sent;
         int retries_left = 0;
     };
@@ -79,7 +91,7 @@
         const time_point first =
             tracks_retries_ ? first_received(retry_tracker_, fingerprint, deadline, now_) : now_;
         const time_point objective_end = first + sender.load.objective;
-        outcome_.sent += sender.retries_left == sender.load.retries ? 1 : 0;
+        outcomes_[sender.stream].sent += sender.retries_left == sender.load.retries ? 1 : 0;
         const milliseconds objective_left(std::max<std::int64_t>(0, elapsed_ms(now_, objective_end)));
         const waiting_request request =
             make_waiting_request(id, deadline, sender.load.priority, objective_left, first != now_, now_);
@@ -98,8 +110,9 @@
         events_.emplace(now_ + length, [this, id, length] {
             const client& served = requests_.at(id);
             const bool is_timely = now_ - served.first_sent <= served.load.objective;
-            outcome_.in_time += is_timely ? 1 : 0;
-            outcome_.late += is_timely ? 0 : 1;
+            simulated_outcome& outcome = outcomes_[served.stream];
+            outcome.in_time += is_timely ? 1 : 0;
+            outcome.late += is_timely ? 0 : 1;
             apply(release_slot(admission_, length, now_, served.load.priority));
         });
     }
@@ -112,7 +125,7 @@
     void refuse(std::uint64_t id) {
         client& refused = requests_.at(id);
         if (refused.retries_left-- == 0) {
-            outcome_.refused += 1;
+            outcomes_[refused.stream].refused += 1;
             return;
         }
         const time_point deadline = refused.first_sent + refused.load.deadline;
@@ -136,7 +149,7 @@
     std::uint64_t next_id_ = 1;
     std::map<std::uint64_t, client> requests_;
     std::multimap<time_point, std::function<void()>> events_;
-    simulated_outcome outcome_;
+    std::vector<simulated_outcome> outcomes_;
 };
 
 } // namespace waxwingfall
