--- a/lib/node/call_state.h
+++ b/lib/node/call_state.h
@@ -15,6 +15,9 @@
 /// before this node times out.
 inline constexpr milliseconds deadline_margin{50};
 
+/// Smallest status with which a worker reports a failure of its own.
+inline constexpr int first_server_error = 500;
+
 /// An attempt that its node has not acknowledged in time. It is awaited beside the next attempt, since a node
 /// that is only slow may run it; the first response of a worker wins.
 struct silent_attempt {
--- a/lib/node/upstream.cpp
+++ b/lib/node/upstream.cpp
@@ -279,7 +279,8 @@
         const http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
         evbuffer_drain(input, used);
         conn->unrelated_bytes += conn->is_current_response ? 0 : used;
-        is_malformed = (error != HPE_OK && error != HPE_PAUSED) || conn->unrelated_bytes > max_unrelated_bytes;
+        is_malformed =
+            (error != HPE_OK && error != HPE_PAUSED) || conn->unrelated_bytes > max_unrelated_bytes;
     }
     pool.deliver(*conn, is_malformed);
 }
--- a/unittests/processes/test_calls.py
+++ b/unittests/processes/test_calls.py
@@ -234,6 +234,33 @@
         self.assertEqual(len([node for node in self.mesh.nodes if not node.worker.alive()]), len(crashed))
         self.assertEqual(request(self.mesh.nodes[0].calls, "/plots?crash=", headers=HOST)[0], 200)
 
+    def test_a_silent_attempt_is_awaited_beside_the_next_one(self):
+        # The node beside one worker is paused for longer than another attempt waits, the other one refuses connections.
+        caller = next(node for node in self.mesh.nodes if node.service == "tirdznieciba")
+        workers = [node for node in self.mesh.nodes if node.service == "rezervacijas"]
+        paused, refusing = workers[0], workers[1:]
+        self.mesh.wait_members(self.mesh.nodes, len(self.mesh.nodes), 30)
+        statuses = []
+
+        def lookup():
+            statuses.append(request(caller.calls, "/plots", headers=HOST, timeout=10)[0])
+        try:
+            paused.process.signal(signal.SIGSTOP)
+            for node in refusing:
+                node.process.kill()
+            lookups = [threading.Thread(target=lookup) for _ in range(6)]
+            for thread in lookups:
+                thread.start()
+            time.sleep(1.2)
+        finally:
+            paused.process.signal(signal.SIGCONT)
+        for thread in lookups:
+            thread.join()
+        for node in refusing:
+            node.start(with_worker=False)
+        self.mesh.wait_members(self.mesh.nodes, len(self.mesh.nodes), 30)
+        self.assertEqual(statuses, [200] * 6)
+
     def test_planned_restarts_under_load_fail_no_request(self):
         entry_nodes = [node for node in self.mesh.nodes if node.name.startswith("riga-c")]
         restarted = [node for node in self.mesh.nodes if node.name in ("riga-a-rez-1", "riga-b-tir-1")]
