--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -8,6 +8,7 @@
 
 #include "waxwingfall/call/admission.h"
 #include "waxwingfall/call/call_decisions.h"
+#include "waxwingfall/call/nested_calls.h"
 #include "waxwingfall/call/routing.h"
 #include "waxwingfall/support/digest.h"
 
@@ -191,6 +192,19 @@
     EXPECT_EQ(admit(state, request_of(3, 1, 300), start), admission_verdict::wait);
 }
 
+// A nested call that is late still lets the request that made it end; one that is refused fails it.
+TEST(Admission, NestedCallIsQueuedAsLongAsItsDeadlineAllows) {
+    const time_point deadline = start + milliseconds(800);
+    for (const std::uint32_t priority : {nested_call_priority, nested_call_priority + 1}) {
+        admission state = busy_worker();
+        const waiting_request call =
+            make_waiting_request(1, deadline, priority, milliseconds(120), false, start);
+        EXPECT_EQ(admit(state, call, start), priority == nested_call_priority
+                                                 ? admission_verdict::wait
+                                                 : admission_verdict::refuse_overloaded);
+    }
+}
+
 TEST(Admission, UrgentRequestsStartFirstAndDisplaceLateOnes) {
     admission state = busy_worker();
     EXPECT_EQ(admit(state, request_of(1, 2, 250), start), admission_verdict::wait);
