--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -205,6 +205,22 @@
     }
 }
 
+// An overload that has lasted for three seconds would keep a late request until its deadline.
+TEST(Admission, LateRequestIsQueuedInABurstAndRefusedInALongOverload) {
+    for (const milliseconds lasted : {milliseconds(100), milliseconds(3000)}) {
+        admission state = busy_worker();
+        for (std::uint64_t id = 1; id <= 5; ++id) {
+            EXPECT_EQ(admit(state, request_of(id, 1, 2000), start), admission_verdict::wait);
+        }
+        state.saturated_since = start - lasted;
+        const waiting_request late =
+            make_waiting_request(6, start + milliseconds(2000), 1, milliseconds(0), true, start);
+        EXPECT_EQ(admit(state, late, start), lasted < milliseconds(1000)
+                                                 ? admission_verdict::wait
+                                                 : admission_verdict::refuse_overloaded);
+    }
+}
+
 TEST(Admission, UrgentRequestsStartFirstAndDisplaceLateOnes) {
     admission state = busy_worker();
     EXPECT_EQ(admit(state, request_of(1, 2, 250), start), admission_verdict::wait);
