--- a/include/waxwingfall/node/call_proxy.h
+++ b/include/waxwingfall/node/call_proxy.h
@@ -52,6 +52,10 @@
     bool is_current(std::uint64_t id, std::size_t attempt) const;
     void on_silent_headers(std::uint64_t id, int status, const std::vector<http_header>& headers);
     bool resume_silent_attempt(call& waiting);
+    /// Makes an attempt the current one, without anything that an earlier attempt left behind.
+    void make_current(call& started, member_id endpoint, std::size_t attempt);
+    /// Cancels the current attempt, if there is one, and records how it ended.
+    void abandon_attempt(call& abandoned, attempt_result result);
     void on_refused(std::uint64_t id);
     void finish(std::uint64_t id);
     void fail(std::uint64_t id, error_kind kind);
--- a/include/waxwingfall/node/upstream.h
+++ b/include/waxwingfall/node/upstream.h
@@ -85,7 +85,7 @@
     void check_acknowledgement(std::uint64_t id);
     void finish(active_request& request, upstream_end end);
     void keep_idle(const std::shared_ptr<connection>& conn);
-    void remove_idle(const connection& broken);
+    void remove_idle(connection& broken);
     void deliver(connection& conn, bool is_malformed);
     static void on_readable(bufferevent* stream, void* context);
     static void on_event(bufferevent* stream, short what, void* context);
--- a/lib/node/call_attempts.cpp
+++ b/lib/node/call_attempts.cpp
@@ -49,21 +49,13 @@
                                                     : final_kind(placed.refusal, placed.may_have_run));
         return;
     }
-    placed.endpoint = *endpoint;
-    placed.refused = false;
-    placed.crashed = false;
-    placed.response_withheld = false;
-    placed.worker_failed = false;
-    placed.attempt_in_progress = true;
-    placed.report = {};
+    make_current(placed, *endpoint, placed.attempted_endpoints.size() + 1);
     placed.past_objective = remaining_objective(placed, now) == milliseconds(0);
     const bool is_retry = !placed.attempted_endpoints.empty();
     placed.attempted_endpoints.push_back(*endpoint);
-    placed.attempt = placed.attempted_endpoints.size();
     log_placement(placed, now);
     node_.counts.attempts += 1;
     node_.counts.retries += is_retry ? 1 : 0;
-    begin_attempt(node_.routing, service, *endpoint);
     record_transfer(node_.routing, service, *endpoint,
                     time_on_link(placed.received.request.body.size(), node_.settings.link_mbps), now);
     http_request sent = placed.received.request;
--- a/lib/node/call_proxy.cpp
+++ b/lib/node/call_proxy.cpp
@@ -292,11 +292,7 @@
     if (removed->silent) {
         workers_.cancel(removed->silent->upstream);
     }
-    if (removed->attempt_in_progress) {
-        workers_.cancel(removed->upstream);
-        end_attempt(node_.routing, removed->service->name, removed->endpoint, attempt_result::cancelled, {},
-                    monotonic_now());
-    }
+    abandon_attempt(*removed, attempt_result::cancelled);
 }
 
 void call_proxy::sweep() {
@@ -319,10 +315,7 @@
     for (const std::uint64_t id : overdue) {
         call& expired = *calls_.at(id);
         if (expired.attempt_in_progress) {
-            expired.attempt_in_progress = false;
-            workers_.cancel(expired.upstream);
-            end_attempt(node_.routing, expired.service->name, expired.endpoint, attempt_result::failed, {},
-                        now);
+            abandon_attempt(expired, attempt_result::failed);
             fail(id, error_kind::outcome_unknown);
             continue;
         }
--- a/lib/node/silent_attempts.cpp
+++ b/lib/node/silent_attempts.cpp
@@ -72,12 +72,7 @@
         active.silent->refused = true;
         return;
     }
-    if (active.attempt_in_progress) {
-        workers_.cancel(active.upstream);
-        end_attempt(node_.routing, active.service->name, active.endpoint, attempt_result::cancelled, {},
-                    monotonic_now());
-    }
-    active.attempt_in_progress = false;
+    abandon_attempt(active, attempt_result::cancelled);
     resume_silent_attempt(active);
     on_headers(id, status, headers);
 }
@@ -90,18 +85,32 @@
     }
     const silent_attempt resumed = *waiting.silent;
     waiting.silent.reset();
-    waiting.attempt = resumed.attempt;
-    waiting.endpoint = resumed.endpoint;
+    make_current(waiting, resumed.endpoint, resumed.attempt);
     waiting.upstream = resumed.upstream;
-    waiting.attempt_in_progress = true;
-    waiting.refused = false;
-    waiting.crashed = false;
-    waiting.response_withheld = false;
-    waiting.worker_failed = false;
-    waiting.status = 0;
-    waiting.buffered_body.clear();
-    begin_attempt(node_.routing, waiting.service->name, waiting.endpoint);
     return true;
 }
 
+void call_proxy::make_current(call& started, member_id endpoint, std::size_t attempt) {
+    started.endpoint = endpoint;
+    started.attempt = attempt;
+    started.attempt_in_progress = true;
+    started.refused = false;
+    started.crashed = false;
+    started.response_withheld = false;
+    started.worker_failed = false;
+    started.report = {};
+    started.status = 0;
+    started.buffered_body.clear();
+    begin_attempt(node_.routing, started.service->name, endpoint);
+}
+
+void call_proxy::abandon_attempt(call& abandoned, attempt_result result) {
+    if (!abandoned.attempt_in_progress) {
+        return;
+    }
+    abandoned.attempt_in_progress = false;
+    workers_.cancel(abandoned.upstream);
+    end_attempt(node_.routing, abandoned.service->name, abandoned.endpoint, result, {}, monotonic_now());
+}
+
 } // namespace waxwingfall
--- a/lib/node/upstream.cpp
+++ b/lib/node/upstream.cpp
@@ -254,7 +254,8 @@
     return open;
 }
 
-void upstream_pool::remove_idle(const connection& broken) {
+void upstream_pool::remove_idle(connection& broken) {
+    broken.close();
     auto& connections = idle_[broken.address];
     std::erase_if(connections,
                   [&](const std::shared_ptr<connection>& idle) { return idle.get() == &broken; });
@@ -265,7 +266,6 @@
     upstream_pool& pool = *conn->pool;
     if (conn->current == 0) {
         // Data on an idle connection belongs to no request.
-        conn->close();
         pool.remove_idle(*conn);
         return;
     }
@@ -312,7 +312,6 @@
     const std::shared_ptr<connection> conn = static_cast<connection*>(context)->shared_from_this();
     upstream_pool& pool = *conn->pool;
     if (conn->current == 0) {
-        conn->close();
         pool.remove_idle(*conn);
         return;
     }
