Logs and metrics that tell the causes of a late configuration apart

Logs did not show how long a read of the store took, how large its response was, how long the node then waited, or whether an enforced version came from the store or from a peer.

- platform-read (315): key, call, result, took_ms, bytes, pause_ms; limited like the lines of requests.
- contract-enforced names its source.
- store_call_seconds and store_bytes_total by call.

No decision changes. node_test, support_test and link_test pass; the metrics test covers the new series.

--- a/include/waxwingfall/node/metrics.h
+++ b/include/waxwingfall/node/metrics.h
@@ -47,8 +47,10 @@
     /// "lost".
     void record_run(std::string_view end, milliseconds duration);
 
-    /// Records the result of a call to the platform's key-value service.
-    void record_store_call(std::string_view call, std::string_view result);
+    /// Records the result of a call to the platform's key-value service, which took `duration` and returned
+    /// a body of `bytes`.
+    void record_store_call(std::string_view call, std::string_view result, milliseconds duration,
+                           std::size_t bytes);
 
     std::vector<prometheus::MetricFamily> collect() const { return registry_.Collect(); }
 
@@ -58,6 +60,8 @@
     prometheus::Family<prometheus::Histogram>& runs_;
     prometheus::Family<prometheus::Counter>& refusals_;
     prometheus::Family<prometheus::Counter>& store_calls_;
+    prometheus::Family<prometheus::Histogram>& store_call_times_;
+    prometheus::Family<prometheus::Counter>& store_bytes_;
 };
 
 } // namespace waxwingfall
--- a/include/waxwingfall/node/node.h
+++ b/include/waxwingfall/node/node.h
@@ -33,8 +33,9 @@
 private:
     void handle(const wire::frame& frame);
     void handle_call_frame(const wire::frame& frame, time_point now);
-    void apply(control_plane_effects effects);
-    void enforce_contract();
+    /// Carries out effects; `source` names in logs where an enforced document came from.
+    void apply(control_plane_effects effects, const std::string& source);
+    void enforce_contract(const std::string& source);
     void adopt_ledger();
     void handle_member_change(const member_change& change, time_point now);
     void detect_pause(time_point now);
--- a/include/waxwingfall/node/platform_agent.h
+++ b/include/waxwingfall/node/platform_agent.h
@@ -55,6 +55,8 @@
     void watch(watch_state& state, const std::string& key, time_point now,
                void (platform_agent::*handler)(const store_response&));
     void poll_configuration(bool reads_for_others, time_point now);
+    /// Logs the last call, a read of `key`, and the pause until the next one if it failed.
+    void log_read(const std::string& key, store_status status, milliseconds pause);
     void handle_head(const store_response& response);
     void handle_configuration(const store_response& response);
     void fetch_body(const accepted_version& version);
@@ -69,6 +71,7 @@
     node_context& node_;
     control_plane_effects_sink sink_;
     store_client client_;
+    store_call_record last_call_; ///< that ended, of any kind
     bool reachable_ = true;
     bool was_active_bridge_ = false; ///< acted as a bridge at the last tick
     watch_state head_;
--- a/include/waxwingfall/store/store_client.h
+++ b/include/waxwingfall/store/store_client.h
@@ -37,14 +37,22 @@
 
 using store_callback = std::function<void(const store_response&)>;
 
+/// A call that has ended, as recorded in logs and metrics.
+struct store_call_record {
+    std::string_view call; ///< its name in metrics
+    store_status status = store_status::not_reached;
+    milliseconds duration{0};
+    std::size_t response_bytes = 0; ///< of the body
+};
+
 /// Client of the platform's key-value store over HTTP; platform/store_wire.h defines the messages. Each call
 /// uses its own connection, so that an unresponsive connection delays only that call, by its timeout.
 struct store_client {
     const event_loop* loop = nullptr;
     ip_address address;
     milliseconds timeout{2000};
-    /// Called at the end of each call with the call's name in metrics; may be empty.
-    std::function<void(std::string_view call, store_status status)> on_end{};
+    /// Called at the end of each call; may be empty.
+    std::function<void(const store_call_record& ended)> on_end{};
 };
 
 void read_value(const store_client& client, const std::string& key, store_callback done);
--- a/include/waxwingfall/support/event_log.h
+++ b/include/waxwingfall/support/event_log.h
@@ -37,6 +37,7 @@
     platform_went_back = 312,
     reader_started = 313,
     reader_stopped = 314,
+    platform_read = 315,
     ledger_map_adopted = 400,
     ledger_owner_replaced = 401,
     worker_crashed = 500,
--- a/lib/node/metrics.cpp
+++ b/lib/node/metrics.cpp
@@ -16,6 +16,9 @@
                       "requests refused or failed here, by reason"},
     metric_descriptor{"store_calls_total", "counter", "call,result",
                       "calls to the platform's key-value service"},
+    metric_descriptor{"store_call_seconds", "histogram", "call",
+                      "calls to the platform's key-value service, watches included"},
+    metric_descriptor{"store_bytes_total", "counter", "call", "bytes of responses to these calls"},
     metric_descriptor{"enforced_version", "gauge", "", "version of the document in force"},
     metric_descriptor{"newest_known_version", "gauge", "", "newest version that this node has heard of"},
     metric_descriptor{"version_conflicts_total", "counter", "",
@@ -84,7 +87,9 @@
     : calls_(build_family(prometheus::BuildHistogram(), "call_seconds", registry_)),
       runs_(build_family(prometheus::BuildHistogram(), "run_seconds", registry_)),
       refusals_(build_family(prometheus::BuildCounter(), "refusals_total", registry_)),
-      store_calls_(build_family(prometheus::BuildCounter(), "store_calls_total", registry_)) {}
+      store_calls_(build_family(prometheus::BuildCounter(), "store_calls_total", registry_)),
+      store_call_times_(build_family(prometheus::BuildHistogram(), "store_call_seconds", registry_)),
+      store_bytes_(build_family(prometheus::BuildCounter(), "store_bytes_total", registry_)) {}
 
 void node_metrics::record_call(request_kind kind, outcome result, milliseconds age) {
     calls_
@@ -102,8 +107,11 @@
     runs_.Add({{"end", std::string(end)}}, latency_buckets()).Observe(to_seconds(duration));
 }
 
-void node_metrics::record_store_call(std::string_view call, std::string_view result) {
+void node_metrics::record_store_call(std::string_view call, std::string_view result, milliseconds duration,
+                                     std::size_t bytes) {
     store_calls_.Add({{"call", std::string(call)}, {"result", std::string(result)}}).Increment();
+    store_call_times_.Add({{"call", std::string(call)}}, latency_buckets()).Observe(to_seconds(duration));
+    store_bytes_.Add({{"call", std::string(call)}}).Increment(static_cast<double>(bytes));
 }
 
 } // namespace waxwingfall
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -47,7 +47,7 @@
            std::function<void()> on_stopped)
     : settings_(settings), context_(loop, settings, log, seed), on_stopped_(std::move(on_stopped)),
       call_proxy_(context_), inbound_proxy_(context_),
-      platform_(context_, [this](control_plane_effects effects) { apply(std::move(effects)); }),
+      platform_(context_, [this](control_plane_effects effects) { apply(std::move(effects), "platform"); }),
       admin_(context_,
              {[this] { return call_proxy_.open_calls(); }, [this] { return inbound_proxy_.open_requests(); },
               [this] { return platform_.is_reachable(); },
@@ -79,7 +79,7 @@
     // other nodes know now.
     const bool is_current_ack =
         frame.has_ack() && context_.control.nodes.probes.contains(frame.ack().sequence());
-    apply(handle_frame(context_.control, frame, now, context_.random));
+    apply(handle_frame(context_.control, frame, now, context_.random), "peer");
     if (is_current_ack) {
         confirm_owner(context_.records, frame.ack().ledger().version(), now);
     }
@@ -116,14 +116,14 @@
     }
 }
 
-void node::apply(control_plane_effects effects) {
+void node::apply(control_plane_effects effects, const std::string& source) {
     const time_point now = monotonic_now();
     send_all(context_, std::move(effects.messages));
     for (const member_change& change : effects.changes) {
         handle_member_change(change, now);
     }
     if (effects.contract_enforced) {
-        enforce_contract();
+        enforce_contract(source);
     }
     if (effects.contract_refused) {
         const refused_content& refused = *context_.control.contracts.refused;
@@ -142,16 +142,17 @@
     }
 }
 
-void node::enforce_contract() {
+void node::enforce_contract(const std::string& source) {
     const versioned_content& enforced = context_.control.contracts.enforced;
     auto content = decode_contract(enforced.bytes);
     assert(content && "only content that decodes is enforced");
     context_.active_contract = std::make_shared<const contract>(std::move(*content));
     context_.version = enforced.id.version;
     call_proxy_.apply_contract_limits();
-    context_.log.write(
-        event_id::contract_enforced, wall_now(),
-        {{"version", std::to_string(enforced.id.version)}, {"digest", to_hex(enforced.id.digest)}});
+    context_.log.write(event_id::contract_enforced, wall_now(),
+                       {{"version", std::to_string(enforced.id.version)},
+                        {"digest", to_hex(enforced.id.digest)},
+                        {"source", source}});
 }
 
 void node::adopt_ledger() {
@@ -191,7 +192,7 @@
     const time_point now = monotonic_now();
     detect_pause(now);
     last_tick_ = now;
-    apply(tick_control_plane(context_.control, now, context_.random));
+    apply(tick_control_plane(context_.control, now, context_.random), "start");
     const membership& nodes = context_.control.nodes;
     send_all(context_, tick_ledger(context_.records, nodes, now, wall_now()));
     claimant_effects claims = tick_claimant(context_.claims, context_.records.map, nodes, now);
@@ -263,7 +264,7 @@
     if (plan.withdrawn && context_.control.nodes.self.state != member_state::leaving) {
         context_.log.write(event_id::node_withdrawn, wall_now(),
                            {{"open_requests", std::to_string(inbound_proxy_.open_requests())}});
-        apply(announce_shutdown(context_.control, now));
+        apply(announce_shutdown(context_.control, now), "start");
         update_endpoint(context_.routing, context_.control.nodes.self, now);
     }
     if (plan.refuses_requests) {
--- a/lib/node/platform_agent.cpp
+++ b/lib/node/platform_agent.cpp
@@ -38,8 +38,10 @@
 
 platform_agent::platform_agent(node_context& node, control_plane_effects_sink sink)
     : node_(node), sink_(std::move(sink)), client_{&node.loop, node.settings.platform} {
-    client_.on_end = [this](std::string_view call, store_status status) {
-        node_.metrics.record_store_call(call, store_status_name(status));
+    client_.on_end = [this](const store_call_record& ended) {
+        node_.metrics.record_store_call(ended.call, store_status_name(ended.status), ended.duration,
+                                        ended.response_bytes);
+        last_call_ = ended;
     };
     const time_point now = monotonic_now();
     next_seed_poll_ = now + jittered(first_seed_poll_interval, node_.random);
@@ -163,9 +165,12 @@
         update_reachability(response.status);
         if (!is_reachable_status(response.status)) {
             state.backoff = std::clamp(state.backoff * 2, min_backoff, max_backoff);
-            state.next_attempt = monotonic_now() + jittered(state.backoff, node_.random);
+            const milliseconds pause = jittered(state.backoff, node_.random);
+            state.next_attempt = monotonic_now() + pause;
+            log_read(key, response.status, pause);
             return;
         }
+        log_read(key, response.status, milliseconds(0));
         state.backoff = milliseconds(0);
         state.revision = response.store_revision;
         state.next_attempt = monotonic_now() + jittered(state.interval, node_.random);
@@ -180,6 +185,16 @@
     watch_value(client_, key, state.revision, watch_timeout, done);
 }
 
+void platform_agent::log_read(const std::string& key, store_status status, milliseconds pause) {
+    node_.log.write(event_id::platform_read, wall_now(),
+                    {{"key", key},
+                     {"call", std::string(last_call_.call)},
+                     {"result", std::string(store_status_name(status))},
+                     {"took_ms", std::to_string(last_call_.duration.count())},
+                     {"bytes", std::to_string(last_call_.response_bytes)},
+                     {"pause_ms", std::to_string(pause.count())}});
+}
+
 void platform_agent::handle_head(const store_response& response) {
     if (response.status != store_status::ok) {
         return;
--- a/lib/store/store_client.cpp
+++ b/lib/store/store_client.cpp
@@ -39,11 +39,13 @@
 void call(const store_client& client, std::string_view name, const http_request& request,
           milliseconds timeout, std::function<void(store_response, const http_response&)> handle) {
     exchange(*client.loop, client.address, request, timeout,
-             [name, on_end = client.on_end, handle = std::move(handle)](const http_response& response) {
+             [name, started = monotonic_now(), on_end = client.on_end,
+              handle = std::move(handle)](const http_response& response) {
                  store_response result;
                  result.status = status_of(response);
                  if (on_end) {
-                     on_end(name, result.status);
+                     on_end({name, result.status, milliseconds(elapsed_ms(started, monotonic_now())),
+                             response.body.size()});
                  }
                  handle(std::move(result), response);
              });
--- a/lib/support/event_log.cpp
+++ b/lib/support/event_log.cpp
@@ -51,6 +51,7 @@
     event_row{platform_went_back, "platform-went-back", "error"},
     event_row{reader_started, "reader-started", "info"},
     event_row{reader_stopped, "reader-stopped", "info"},
+    event_row{platform_read, "platform-read", "info", failure_rate},
     event_row{ledger_map_adopted, "ledger-map-adopted", "info"},
     event_row{ledger_owner_replaced, "ledger-owner-replaced", "warn"},
     event_row{worker_crashed, "worker-crashed", "error"},
--- a/unittests/node/metrics_test.cpp
+++ b/unittests/node/metrics_test.cpp
@@ -27,7 +27,7 @@
     metrics.record_call(request_kind::idempotent, outcome::done, milliseconds(300));
     metrics.record_call(request_kind::idempotent, outcome::done, milliseconds(3000));
     metrics.record_refusal("worker", error_kind::overloaded);
-    metrics.record_store_call("watch", "ok");
+    metrics.record_store_call("watch", "ok", milliseconds(40), 900);
     metrics.record_run("complete", milliseconds(20));
     const std::string text = prometheus::TextSerializer().Serialize(metrics.collect());
     const std::string labels = R"(kind="idempotent",outcome="done")";
@@ -36,5 +36,7 @@
     EXPECT_NE(text.find(R"(waxwingfall_refusals_total{hop="worker",reason="overloaded"} 1)"),
               std::string::npos);
     EXPECT_NE(text.find(R"(waxwingfall_store_calls_total{call="watch",result="ok"} 1)"), std::string::npos);
+    EXPECT_NE(text.find(R"(waxwingfall_store_call_seconds_sum{call="watch"} 0.04)"), std::string::npos);
+    EXPECT_NE(text.find(R"(waxwingfall_store_bytes_total{call="watch"} 900)"), std::string::npos);
     EXPECT_NE(text.find(R"(waxwingfall_run_seconds_sum{end="complete"} 0.02)"), std::string::npos);
 }
