--- a/unittests/link/http_test.cpp
+++ b/unittests/link/http_test.cpp
@@ -26,6 +26,30 @@
     return address;
 }
 
+int socket_option(int socket, int level, int name) {
+    int value = 0;
+    socklen_t size = sizeof(value);
+    getsockopt(socket, level, name, &value, &size);
+    return value;
+}
+
+/// Returns this process's end of a connection whose other end is also in this process.
+int other_end_of(int accepted) {
+    sockaddr_in wanted{};
+    socklen_t size = sizeof(wanted);
+    getpeername(accepted, reinterpret_cast<sockaddr*>(&wanted), &size);
+    constexpr int max_descriptor = 256;
+    for (int descriptor = 0; descriptor < max_descriptor; ++descriptor) {
+        sockaddr_in local{};
+        size = sizeof(local);
+        if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&local), &size) == 0 &&
+            local.sin_port == wanted.sin_port && local.sin_addr.s_addr == wanted.sin_addr.s_addr) {
+            return descriptor;
+        }
+    }
+    return -1;
+}
+
 } // namespace
 
 // Guards against a small segment that waits until the peer acknowledges the previous one: every response that
@@ -49,3 +73,31 @@
     EXPECT_NE(no_delay, 0);
     close(client);
 }
+
+// Guards against a late configuration: a watch whose connection went silent was noticed after 3 s only.
+TEST(HttpClient, SilentConnectionIsNoticedWithinTwoSeconds) {
+    event_loop loop;
+    const sockaddr_in address = unused_loopback_address();
+    const ip_address server_address{"127.0.0.1", ntohs(address.sin_port)};
+    constexpr int limit_s = 2;
+    constexpr int ms_per_s = 1000;
+    bool is_checked = false;
+    const http_server server(loop, server_address, [&](evhttp_request* request) {
+        const int client = other_end_of(
+            bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request))));
+        ASSERT_GE(client, 0);
+        EXPECT_NE(socket_option(client, SOL_SOCKET, SO_KEEPALIVE), 0);
+        EXPECT_LE(socket_option(client, IPPROTO_TCP, TCP_KEEPIDLE) +
+                      socket_option(client, IPPROTO_TCP, TCP_KEEPINTVL) *
+                          socket_option(client, IPPROTO_TCP, TCP_KEEPCNT),
+                  limit_s);
+        // Replaces the number of probes where it is set.
+        EXPECT_LE(socket_option(client, IPPROTO_TCP, TCP_USER_TIMEOUT), limit_s * ms_per_s);
+        is_checked = true;
+        send_response(request, 200, "");
+    });
+    exchange(loop, server_address, {EVHTTP_REQ_GET, "/", {}, {}}, milliseconds(1000),
+             [](const http_response&) {});
+    loop.run_for(milliseconds(100));
+    EXPECT_TRUE(is_checked);
+}
--- a/unittests/node/platform_agent_test.cpp
+++ b/unittests/node/platform_agent_test.cpp
@@ -1,5 +1,6 @@
 #include "waxwingfall/node/platform_agent.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,36 @@
     http_server server_;
 };
 
+/// A store that breaks the connection of the first watch and accepts later ones.
+class breaking_watch_store {
+public:
+    breaking_watch_store(const event_loop& loop, const ip_address& address)
+        : server_(loop, address, [this](evhttp_request* request) { receive(request); }) {}
+
+    /// Time from the broken watch to the next one, or nothing if there was none.
+    std::optional<milliseconds> pause() const {
+        return next_at_ ? std::optional(milliseconds(elapsed_ms(*broken_at_, *next_at_))) : std::nullopt;
+    }
+
+private:
+    void receive(evhttp_request* request) {
+        if (request_path(request) != "/kv-watch") {
+            send_response(request, 200, R"({"items":[],"has_more":false,"as_of":5})");
+            return;
+        }
+        if (!broken_at_) {
+            broken_at_ = monotonic_now();
+            drop_connection(request);
+            return;
+        }
+        next_at_ = next_at_.value_or(monotonic_now());
+    }
+
+    std::optional<time_point> broken_at_;
+    std::optional<time_point> next_at_;
+    http_server server_;
+};
+
 node_settings bridge_settings(const ip_address& store) {
     node_settings settings;
     settings.name = "reader";
@@ -68,3 +99,21 @@
     loop.run_for(milliseconds(300));
     EXPECT_EQ(store.watched(), (std::vector<std::string>{head_key("e"), ledger_key("e")}));
 }
+
+// Guards against a late configuration: every node paused after its watch broke, while versions appeared.
+TEST(PlatformAgent, BrokenWatchIsFollowedByTheNextOneImmediately) {
+    event_loop loop;
+    const ip_address address{"127.0.0.1", unused_port()};
+    const breaking_watch_store store(loop, address);
+    node_settings settings = bridge_settings(address);
+    settings.source = configuration_source::operator_key;
+    event_log log("reader", "/dev/null");
+    node_context context(loop, settings, log, 1);
+    context.control.nodes.joined = true;
+    platform_agent agent(context, [](const control_plane_effects&) {});
+    const loop_event ticks =
+        loop_event::every(loop, milliseconds(10), [&agent] { agent.tick(monotonic_now()); });
+    loop.run_for(milliseconds(2000));
+    ASSERT_TRUE(store.pause());
+    EXPECT_LT(*store.pause(), milliseconds(100));
+}
