A watch notices a silent connection within 2 s and is followed by a read of the current value

Fix: calls of the control plane, which can be repeated, use a shorter limit than requests of clients: one keepalive probe, 1.5 s for unacknowledged bytes; the first failure in a row causes no pause; after a failure the current value is read.

--- a/include/waxwingfall/cluster/poll_schedule.h
+++ b/include/waxwingfall/cluster/poll_schedule.h
@@ -1,6 +1,9 @@
 #ifndef WAXWINGFALL_CLUSTER_POLL_SCHEDULE_H
 #define WAXWINGFALL_CLUSTER_POLL_SCHEDULE_H
 
+#include <cstdint>
+
+#include "waxwingfall/support/random_source.h"
 #include "waxwingfall/support/time.h"
 
 namespace waxwingfall {
@@ -28,6 +31,10 @@
 /// most `max_poll_delay` after they stop.
 poll_schedule schedule_poll(const poll_inputs& inputs);
 
+/// Returns the pause after the last of `failures` reads in a row that got no response or a refusal. There is
+/// none after the first one: its connection may have broken while the store is well and has newer versions.
+milliseconds pause_after_failures(std::uint32_t failures, random_source& random);
+
 /// Returns the mean time between the end of a poll and the next one.
 milliseconds poll_interval(bool reads_for_others);
 
--- a/include/waxwingfall/link/socket_options.h
+++ b/include/waxwingfall/link/socket_options.h
@@ -1,6 +1,8 @@
 #ifndef WAXWINGFALL_LINK_SOCKET_OPTIONS_H
 #define WAXWINGFALL_LINK_SOCKET_OPTIONS_H
 
+#include <cstdint>
+
 #include <event2/util.h>
 #include <netinet/in.h>
 
@@ -14,9 +16,18 @@
 /// Sends small segments at once instead of waiting until earlier ones are acknowledged.
 void disable_send_delay(evutil_socket_t socket);
 
-/// Disables Nagle's algorithm and makes a connection fail within three seconds of its peer going silent: by
-/// keepalive probes while it is idle, by TCP_USER_TIMEOUT while sent bytes are unacknowledged.
-void set_stream_options(evutil_socket_t socket);
+/// How soon a connection fails after its peer has gone silent: by keepalive probes while it is idle, by
+/// TCP_USER_TIMEOUT while sent bytes are unacknowledged.
+enum class silence_limit : std::uint8_t {
+    /// Within two seconds. For calls that can be repeated on another connection: a connection that is only
+    /// slow may fail as well.
+    short_limit,
+    /// Within three seconds. For requests that may have run once they are sent.
+    long_limit
+};
+
+/// Disables Nagle's algorithm and bounds the silence of the peer.
+void set_stream_options(evutil_socket_t socket, silence_limit limit);
 
 } // namespace waxwingfall
 
--- a/include/waxwingfall/node/platform_agent.h
+++ b/include/waxwingfall/node/platform_agent.h
@@ -47,7 +47,7 @@
         std::uint64_t revision = 0;     ///< store revision from which the next watch resumes
         std::uint64_t key_revision = 0; ///< revision of the last known change of the key
         time_point next_attempt;
-        milliseconds backoff{0};
+        std::uint32_t failures = 0; ///< reads in a row without a response
     };
 
     void poll_seeds(time_point now);
--- a/lib/cluster/poll_schedule.cpp
+++ b/lib/cluster/poll_schedule.cpp
@@ -14,6 +14,10 @@
 /// each other closely.
 constexpr milliseconds follower_poll_interval{800};
 
+/// Pause after the second failed read in a row; doubles with each further one.
+constexpr milliseconds first_pause{300};
+constexpr milliseconds max_pause{5'000};
+
 /// `jittered` returns up to one and a half times its base.
 constexpr int jitter_numerator = 3;
 constexpr int jitter_denominator = 2;
@@ -28,6 +32,14 @@
             inputs.peers_have_newer};
 }
 
+milliseconds pause_after_failures(std::uint32_t failures, random_source& random) {
+    milliseconds pause{0};
+    for (std::uint32_t failure = 1; failure < failures && pause < max_pause; ++failure) {
+        pause = std::clamp(pause * 2, first_pause, max_pause);
+    }
+    return jittered(pause, random);
+}
+
 milliseconds poll_interval(bool reads_for_others) {
     return reads_for_others ? bridge_poll_interval : follower_poll_interval;
 }
--- a/lib/link/http.cpp
+++ b/lib/link/http.cpp
@@ -97,7 +97,8 @@
             pending, nullptr);
         return;
     }
-    set_stream_options(bufferevent_getfd(evhttp_connection_get_bufferevent(pending->connection)));
+    set_stream_options(bufferevent_getfd(evhttp_connection_get_bufferevent(pending->connection)),
+                       silence_limit::short_limit);
 }
 
 http_server::http_server(const event_loop& loop, const ip_address& address, handler on_request)
--- a/lib/link/socket_options.cpp
+++ b/lib/link/socket_options.cpp
@@ -10,8 +10,16 @@
 
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
-constexpr int keepalive_probes = 2;
-constexpr int unacknowledged_limit_ms = 3000;
+
+/// Linux replaces the number of probes by TCP_USER_TIMEOUT, which it compares at each probe; a limit between
+/// two probes doesn't depend on how punctual they are.
+struct silence_options {
+    int keepalive_probes;
+    int unacknowledged_ms;
+};
+
+constexpr silence_options short_silence{1, 1500};
+constexpr silence_options long_silence{2, 3000};
 
 void set_option(evutil_socket_t socket, int level, int name, int value) {
     // The result is ignored: setting options fails on a socket that was closed meanwhile, and the socket's
@@ -33,13 +41,14 @@
     set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
 }
 
-void set_stream_options(evutil_socket_t socket) {
+void set_stream_options(evutil_socket_t socket, silence_limit limit) {
+    const silence_options& options = limit == silence_limit::short_limit ? short_silence : long_silence;
     disable_send_delay(socket);
     set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
-    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
-    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, options.keepalive_probes);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, options.unacknowledged_ms);
 }
 
 } // namespace waxwingfall
--- a/lib/node/platform_agent.cpp
+++ b/lib/node/platform_agent.cpp
@@ -15,8 +15,7 @@
 namespace {
 
 constexpr milliseconds watch_timeout{30'000};
-constexpr milliseconds min_backoff{300};
-constexpr milliseconds max_backoff{5'000};
+constexpr milliseconds body_retry_pause{300};
 constexpr milliseconds seed_lease_ttl{15'000};
 constexpr milliseconds seed_renewal_period{5'000};
 constexpr milliseconds first_seed_poll_interval{300};
@@ -164,14 +163,16 @@
         state.pending = false;
         update_reachability(response.status);
         if (!is_reachable_status(response.status)) {
-            state.backoff = std::clamp(state.backoff * 2, min_backoff, max_backoff);
-            const milliseconds pause = jittered(state.backoff, node_.random);
+            state.failures += 1;
+            // Several versions may have been accepted meanwhile. A watch would return each of them in full.
+            state.revision = 0;
+            const milliseconds pause = pause_after_failures(state.failures, node_.random);
             state.next_attempt = monotonic_now() + pause;
             log_read(key, response.status, pause);
             return;
         }
         log_read(key, response.status, milliseconds(0));
-        state.backoff = milliseconds(0);
+        state.failures = 0;
         state.revision = response.store_revision;
         state.next_attempt = monotonic_now() + jittered(state.interval, node_.random);
         if (response.status == store_status::ok || response.status == store_status::absent) {
@@ -262,7 +263,7 @@
         if (response.status != store_status::ok) {
             // Restart the watch from the current value of the head.
             head_.revision = 0;
-            head_.next_attempt = monotonic_now() + jittered(min_backoff, node_.random);
+            head_.next_attempt = monotonic_now() + jittered(body_retry_pause, node_.random);
             return;
         }
         sink_(apply_platform_contract(node_.control, {version.id, response.value.bytes}, monotonic_now()));
--- a/lib/node/upstream.cpp
+++ b/lib/node/upstream.cpp
@@ -138,7 +138,7 @@
         }));
         return;
     }
-    set_stream_options(bufferevent_getfd(conn.stream));
+    set_stream_options(bufferevent_getfd(conn.stream), silence_limit::long_limit);
 }
 
 void upstream_pool::write_request(active_request& request) {
--- a/unittests/cluster/poll_schedule_test.cpp
+++ b/unittests/cluster/poll_schedule_test.cpp
@@ -121,3 +121,17 @@
 TEST(PollSchedule, MaximumPollDelayLeavesTimeForASlowNode) {
     EXPECT_LE(max_poll_delay() + milliseconds(500), activation_bound);
 }
+
+// Guards against a late configuration: nodes paused after a connection had broken, while versions appeared.
+TEST(PollSchedule, FirstFailureCausesNoPause) {
+    random_source random(1);
+    EXPECT_EQ(pause_after_failures(1, random), milliseconds(0));
+}
+
+TEST(PollSchedule, PauseGrowsWhileReadsFailAndStaysBounded) {
+    random_source random(1);
+    constexpr std::uint32_t many = 1000;
+    EXPECT_GE(pause_after_failures(2, random), milliseconds(150));
+    EXPECT_GE(pause_after_failures(many, random), milliseconds(1000));
+    EXPECT_LE(pause_after_failures(many, random), milliseconds(7500));
+}
--- a/unittests/node/platform_agent_test.cpp
+++ b/unittests/node/platform_agent_test.cpp
@@ -42,33 +42,40 @@
     http_server server_;
 };
 
-/// A store that breaks the connection of the first watch and accepts later ones.
+/// A store that breaks the connection of the first watch.
 class breaking_watch_store {
 public:
     breaking_watch_store(const event_loop& loop, const ip_address& address)
         : server_(loop, address, [this](evhttp_request* request) { receive(request); }) {}
 
-    /// Time from the broken watch to the next one, or nothing if there was none.
+    /// Time from the broken watch to the next read of its key, or nothing if there was none.
     std::optional<milliseconds> pause() const {
         return next_at_ ? std::optional(milliseconds(elapsed_ms(*broken_at_, *next_at_))) : std::nullopt;
     }
 
+    /// True if that read asked for the current value, not for all changes since the last read.
+    bool next_reads_current() const { return next_path_ == "/kv-range"; }
+
 private:
     void receive(evhttp_request* request) {
-        if (request_path(request) != "/kv-watch") {
-            send_response(request, 200, R"({"items":[],"has_more":false,"as_of":5})");
-            return;
-        }
-        if (!broken_at_) {
+        const bool is_watch = request_path(request) == "/kv-watch";
+        if (is_watch && !broken_at_) {
             broken_at_ = monotonic_now();
             drop_connection(request);
             return;
         }
-        next_at_ = next_at_.value_or(monotonic_now());
+        if (broken_at_ && !next_at_ && query_value(request, "prefix") == "op/config") {
+            next_at_ = monotonic_now();
+            next_path_ = request_path(request);
+        }
+        if (!is_watch) {
+            send_response(request, 200, R"({"items":[],"has_more":false,"as_of":5})");
+        }
     }
 
     std::optional<time_point> broken_at_;
     std::optional<time_point> next_at_;
+    std::string next_path_;
     http_server server_;
 };
 
@@ -101,7 +108,7 @@
 }
 
 // Guards against a late configuration: every node paused after its watch broke, while versions appeared.
-TEST(PlatformAgent, BrokenWatchIsFollowedByTheNextOneImmediately) {
+TEST(PlatformAgent, BrokenWatchIsFollowedByAReadOfTheCurrentValueImmediately) {
     event_loop loop;
     const ip_address address{"127.0.0.1", unused_port()};
     const breaking_watch_store store(loop, address);
@@ -116,4 +123,5 @@
     loop.run_for(milliseconds(2000));
     ASSERT_TRUE(store.pause());
     EXPECT_LT(*store.pause(), milliseconds(100));
+    EXPECT_TRUE(store.next_reads_current());
 }
