--- a/include/waxwingfall/call/worker_view.h
+++ b/include/waxwingfall/call/worker_view.h
@@ -24,6 +24,7 @@
     bool leaving = false;               ///< it reported that it drains or leaves
     time_point leaving_since;
     time_point last_report_at;
+    std::optional<double> rate_limit; ///< requests a second that it accepts, as its latest response states
 };
 
 /// How a report was handled.
--- a/include/waxwingfall/node/inbound_proxy.h
+++ b/include/waxwingfall/node/inbound_proxy.h
@@ -46,6 +46,7 @@
     void run(std::uint64_t id);
     void apply_queue_update(const queue_update& update);
     void on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers);
+    void observe_rate_limit(const std::vector<http_header>& headers);
     void on_data(std::uint64_t id, evbuffer* data);
     void on_end(std::uint64_t id, upstream_end end);
     void refuse(std::uint64_t id, error_kind kind);
--- a/include/waxwingfall/support/event_log.h
+++ b/include/waxwingfall/support/event_log.h
@@ -45,6 +45,7 @@
     worker_health_changed = 502,
     worker_reported = 503,
     worker_report_ignored = 504,
+    worker_limit_changed = 505,
     call_failed = 600,
     request_refused = 601,
     call_placed = 602,
--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -176,7 +176,24 @@
                      std::move(callbacks));
 }
 
+void inbound_proxy::observe_rate_limit(const std::vector<http_header>& headers) {
+    const std::string stated = header_value(headers, platform::header::rate_limit);
+    const auto limit = platform::decode_rate_limit(stated);
+    if (!stated.empty() && !limit) {
+        node_.log.write(event_id::worker_report_ignored, wall_now(),
+                        {{"worker", node_.worker.worker_id}, {"why", "the rate limit can't be read"}});
+        return;
+    }
+    if (limit != node_.worker.rate_limit) {
+        node_.worker.rate_limit = limit;
+        node_.log.write(
+            event_id::worker_limit_changed, wall_now(),
+            {{"worker", node_.worker.worker_id}, {"per_s", limit ? std::to_string(*limit) : "none"}});
+    }
+}
+
 void inbound_proxy::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
+    observe_rate_limit(headers);
     request& running = *requests_.at(id);
     running.worker_refused =
         status == platform::misdirected_status ||
