Connections between nodes that go silent are replaced within 2 s, before their nodes are declared dead

The class of the late configuration, elsewhere: message connections noticed silence after up to 4 s (1.5 s between heartbeats, 2.5 s to answer), while a member that acknowledges no probe is dead after about 3.2 s.

--- a/lib/link/message_link.cpp
+++ b/lib/link/message_link.cpp
@@ -5,8 +5,9 @@
 namespace {
 
 constexpr int max_frame_bytes = 4 * 1024 * 1024;
-constexpr int heartbeat_interval_ms = 1500;
-constexpr int heartbeat_timeout_ms = 2500;
+/// A silent connection is replaced after the sum of both, before its node would be declared dead.
+constexpr int heartbeat_interval_ms = 500;
+constexpr int heartbeat_timeout_ms = 1500;
 constexpr int send_queue_frames = 256;
 constexpr int receive_queue_frames = 4096;
 constexpr int reconnect_initial_ms = 100;
