--- a/include/waxwingfall/standin/worker_service.h
+++ b/include/waxwingfall/standin/worker_service.h
@@ -26,8 +26,9 @@
 
 /// A stand-in backend server. It runs requests in a bounded number of slots, rejects excess requests with the
 /// header X-Not-Run, observes deadlines and cancellation, and logs each request that it runs. Query
-/// parameters of /control drain it, set the health status that it reports, truncate responses and set the run
-/// time; a request with the query parameter `crash` ends the process.
+/// parameters of /control drain it, set the health status that it reports, truncate responses, set the run
+/// time and the rate limit that it states, which it does not enforce; a request with the query parameter
+/// `crash` ends the process.
 class worker_service {
 public:
     worker_service(const event_loop& loop, const worker_options& options);
@@ -56,6 +57,7 @@
     std::uint64_t next_job_ = 1;
     bool draining_ = false;
     std::string health_ = "ok";
+    std::string rate_limit_; ///< stated in all responses, in requests a second; empty for none
     std::uint64_t responses_to_truncate_ = 0; ///< next responses that end after half of their body
     std::ofstream run_log_;
     http_server server_;
--- a/lib/standin/worker_service.cpp
+++ b/lib/standin/worker_service.cpp
@@ -44,6 +44,10 @@
         evhttp_add_header(evhttp_request_get_output_headers(request), platform::header::attempt_id,
                           attempt_id.c_str());
     }
+    if (!rate_limit_.empty()) {
+        evhttp_add_header(evhttp_request_get_output_headers(request), platform::header::rate_limit,
+                          rate_limit_.c_str());
+    }
     const std::string path = request_path(request);
     if (path == "/health") {
         const bool ok = health_ == "ok" && !draining_;
@@ -77,6 +81,10 @@
         draining_ = drain == "1";
     }
     responses_to_truncate_ += parse_number(query_value(request, "cut_short"), 0);
+    const std::string limit = query_value(request, "rate_limit");
+    if (!limit.empty()) {
+        rate_limit_ = limit == "none" ? "" : limit;
+    }
     const std::string run = query_value(request, "run_ms");
     if (!run.empty()) {
         options_.run_time = milliseconds(static_cast<std::int64_t>(parse_number(run, 0)));
