A worker gets no more requests than the rate limit that it states

Fix: a token bucket in the admission of the node beside the worker, which every request passes; requests that the limit would make late are refused at once like those beyond the slots; the reported load is scaled to the slots that the limit leaves, so that calls are placed elsewhere; nodes that were told relay the limit to a restarted node until its worker has responded.

--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "waxwingfall/call/rate_limit.h"
 #include "waxwingfall/support/error.h"
 #include "waxwingfall/support/time.h"
 
@@ -38,17 +39,18 @@
     auto operator<=>(const run_time_stats&) const = default;
 };
 
-/// Admission control for one worker: its slots as its node counts them, and a bounded queue. A refused
-/// request is known not to have run. Under load beyond the worker's capacity, urgent requests start first and
-/// displace others, and a request that can't complete in time is refused on arrival instead of being
-/// queued. Within a priority, requests past their objective run only when no other waits: this serves as many
-/// requests, and more of them in time. They are queued through a burst, after which there is room for them,
-/// and refused in a long overload, which would keep them until their deadline: an overload is expected to
-/// last as long again as it has lasted so far.
+/// Admission control for one worker: its slots as its node counts them, its rate limit if it states one, and
+/// a bounded queue. A refused request is known not to have run. Under load beyond the worker's capacity,
+/// urgent requests start first and displace others, and a request that can't complete in time is refused on
+/// arrival instead of being queued. Within a priority, requests past their objective run only when no other
+/// waits: this serves as many requests, and more of them in time. They are queued through a burst, after
+/// which there is room for them, and refused in a long overload, which would keep them until their deadline:
+/// an overload is expected to last as long again as it has lasted so far.
 struct admission {
     std::uint32_t slots = 1;
     std::uint32_t queue_limit = 0;
     std::uint32_t running = 0;
+    rate_limit limit;
     /// By priority, within it those not past their objective first, then in order of arrival.
     std::deque<waiting_request> waiting;
     std::vector<std::uint64_t> displaced; ///< by more urgent requests; refused with the next `queue_update`
@@ -86,9 +88,13 @@
 /// Removes a waiting request from the queue; false if it does not wait.
 bool remove_waiting(admission& state, std::uint64_t id);
 
-/// The number of running and waiting requests: the load that responses report.
+/// The number of running and waiting requests.
 double load_of(const admission& state);
 
+/// The load that responses report, to be compared with the worker's slots: with a rate limit that leaves some
+/// of them unused, as much more than `load_of`.
+double reported_load(const admission& state);
+
 /// How much earlier a request that was refused as too late would have to complete; after this time a similar
 /// request may be admitted.
 milliseconds expected_lateness(const admission& state, const waiting_request& request, time_point now);
--- a/include/waxwingfall/call/routing.h
+++ b/include/waxwingfall/call/routing.h
@@ -71,14 +71,23 @@
     bool refused_past_objective = false;
 };
 
+/// A rate limit that a worker stated in a response to this node.
+struct stated_limit {
+    double per_s = 0; ///< requests a second from all nodes together
+    time_point stated_at;
+    auto operator<=>(const stated_limit&) const = default;
+};
+
 /// The endpoints of each service that may accept new calls.
 struct routing_table {
     routing_policy policy;
     std::map<std::string, std::map<member_id, endpoint>> services;
     std::map<std::string, std::uint64_t> round_robin_positions; ///< for the round robin rule
     std::map<std::string, time_point> unreachable_data_centres; ///< skipped until the given time
-    member_id self = 0;                                         ///< this node's id
-    std::string data_centre;                                    ///< of this node
+    /// By node beside the worker. Kept while the node restarts, which loses the limit.
+    std::map<member_id, stated_limit> rate_limits;
+    member_id self = 0;      ///< this node's id
+    std::string data_centre; ///< of this node
     std::string region;
 };
 
@@ -125,6 +134,12 @@
 void record_transfer(routing_table& table, const std::string& service, member_id id, milliseconds on_link,
                      time_point now);
 
+/// Records the rate limit that a response of an endpoint's worker states, or that it states none.
+void record_rate_limit(routing_table& table, member_id id, std::optional<double> per_s, time_point now);
+
+/// The rate limit that the endpoint's worker stated last, unless that was too long ago.
+std::optional<double> known_rate_limit(const routing_table& table, member_id id, time_point now);
+
 /// The share of an endpoint's link that request bodies occupy if all nodes send as many to it as this one.
 double link_share_used(const routing_table& table, const endpoint& target, time_point now);
 
--- a/include/waxwingfall/call/worker_view.h
+++ b/include/waxwingfall/call/worker_view.h
@@ -24,7 +24,9 @@
     bool leaving = false;               ///< it reported that it drains or leaves
     time_point leaving_since;
     time_point last_report_at;
-    std::optional<double> rate_limit; ///< requests a second that it accepts, as its latest response states
+    /// Requests a second that it accepts from all nodes together; unset if it states no limit.
+    std::optional<double> rate_limit;
+    bool has_stated_limit = false; ///< a response to this process stated the limit, or that there is none
 };
 
 /// How a report was handled.
@@ -44,6 +46,14 @@
 /// Records that nothing listens at the worker's address.
 void mark_unreachable(worker_view& view);
 
+/// Records the limit that a response of the worker states, or that it states none. True if it is a new one.
+bool record_stated_limit(worker_view& view, std::optional<double> per_s);
+
+/// Takes over a limit that the worker stated to another node. Only this node sees all requests, but its
+/// earlier process may have received the responses. Has no effect once the worker has responded to this
+/// process; true if the limit is a new one.
+bool record_relayed_limit(worker_view& view, double per_s);
+
 /// True if new requests may be sent to the worker.
 bool accepts_requests(const worker_view& view);
 
--- a/include/waxwingfall/node/call_headers.h
+++ b/include/waxwingfall/node/call_headers.h
@@ -36,6 +36,8 @@
     "X-Waxwingfall-Large-Answer"; ///< between nodes: 1 for download routes
 inline constexpr const char* pause_ms =
     "X-Waxwingfall-Pause-Ms"; ///< between nodes: time until a request like the refused one may be admitted
+inline constexpr const char* rate_limit =
+    "X-Waxwingfall-Rate-Limit"; ///< between nodes: limit that the worker stated in an earlier response
 inline constexpr const char* replayed = "X-Waxwingfall-Replayed"; ///< the response comes from an earlier run
 inline constexpr const char* version = "X-Waxwingfall-Version";   ///< version of the document that was active
 } // namespace call_header
--- a/include/waxwingfall/node/inbound_proxy.h
+++ b/include/waxwingfall/node/inbound_proxy.h
@@ -47,6 +47,7 @@
     void apply_queue_update(const queue_update& update);
     void on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers);
     void observe_rate_limit(const std::vector<http_header>& headers);
+    void apply_rate_limit(const std::string& source);
     void on_data(std::uint64_t id, evbuffer* data);
     void on_end(std::uint64_t id, upstream_end end);
     void refuse(std::uint64_t id, error_kind kind);
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -34,6 +34,12 @@
     return stats == state.run_times_by_priority.end() ? 0 : stats->second.deviation_ms * margin_deviations;
 }
 
+/// Expected time until a request starts behind `work_ms` of run time in `starts` - 1 other requests.
+double expected_wait_ms(const admission& state, double work_ms, std::size_t starts, time_point now) {
+    return std::max(work_ms / std::max(1U, state.slots),
+                    static_cast<double>(time_until_tokens(state.limit, starts, now).count()));
+}
+
 /// Expected end of a request behind the first `ahead` waiting ones, estimated from mean run times.
 time_point expected_end(const admission& state, const waiting_request& request, std::size_t ahead,
                         time_point now) {
@@ -42,8 +48,8 @@
     for (std::size_t index = 0; index < std::min(ahead, state.waiting.size()); ++index) {
         work += mean_run_ms_of(state, state.waiting[index].priority);
     }
-    const double ms = work / std::max(1U, state.slots) + mean_run_ms_of(state, request.priority) +
-                      margin_ms_of(state, request.priority);
+    const double ms = expected_wait_ms(state, work, ahead + 1, now) +
+                      mean_run_ms_of(state, request.priority) + margin_ms_of(state, request.priority);
     return now + milliseconds(static_cast<std::int64_t>(ms));
 }
 
@@ -105,7 +111,8 @@
 /// True if a request in the reserved place would complete in time although more urgent requests take the
 /// other starts, so that it may start only after `starts_per_least_urgent_start` runs.
 bool completes_in_reserved_place(const admission& state, const waiting_request& request, time_point now) {
-    const double wait = state.mean_run_ms * starts_per_least_urgent_start / std::max(1U, state.slots);
+    const double wait = expected_wait_ms(state, state.mean_run_ms * starts_per_least_urgent_start,
+                                         starts_per_least_urgent_start, now);
     const auto ms = static_cast<std::int64_t>(wait + mean_run_ms_of(state, request.priority));
     return now + milliseconds(ms) <= request.objective.value_or(request.deadline);
 }
@@ -157,7 +164,7 @@
     if (now >= arrived.deadline) {
         return admission_verdict::refuse_deadline;
     }
-    if (state.running < state.slots && state.waiting.empty()) {
+    if (state.running < state.slots && state.waiting.empty() && spend_token(state.limit, now)) {
         state.running += 1;
         return admission_verdict::run;
     }
@@ -213,11 +220,11 @@
         update.expired.push_back(request.id);
         return true;
     });
-    while (state.running < state.slots && !state.waiting.empty()) {
+    while (state.running < state.slots && !state.waiting.empty() && spend_token(state.limit, now)) {
         update.run.push_back(dequeue_next(state));
         state.running += 1;
     }
-    if (state.running < state.slots) {
+    if (state.running < state.slots && state.waiting.empty()) {
         state.saturated_since = std::nullopt;
     }
     return update;
@@ -231,6 +238,11 @@
     return static_cast<double>(state.running) + static_cast<double>(state.waiting.size());
 }
 
+double reported_load(const admission& state) {
+    const milliseconds run_time(std::max<std::int64_t>(1, std::llround(state.mean_run_ms)));
+    return load_of(state) * state.slots / usable_slots(state.limit, state.slots, run_time);
+}
+
 milliseconds expected_lateness(const admission& state, const waiting_request& request, time_point now) {
     const time_point end = expected_end(state, request, count_ahead(state, request), now);
     return std::max(milliseconds(0),
--- a/lib/call/routing.cpp
+++ b/lib/call/routing.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Time for which a stated rate limit is relayed: longer than a node takes to restart. A worker that was
+/// replaced meanwhile corrects it with its first response.
+constexpr milliseconds rate_limit_lifetime{30'000};
+
 endpoint* mutable_endpoint(routing_table& table, const std::string& service, member_id id) {
     return const_cast<endpoint*>(find_endpoint(table, service, id));
 }
@@ -273,6 +277,21 @@
     }
 }
 
+void record_rate_limit(routing_table& table, member_id id, std::optional<double> per_s, time_point now) {
+    if (per_s) {
+        table.rate_limits.insert_or_assign(id, stated_limit{*per_s, now});
+    } else {
+        table.rate_limits.erase(id);
+    }
+}
+
+std::optional<double> known_rate_limit(const routing_table& table, member_id id, time_point now) {
+    const auto found = table.rate_limits.find(id);
+    const bool is_valid =
+        found != table.rate_limits.end() && now - found->second.stated_at <= rate_limit_lifetime;
+    return is_valid ? std::optional(found->second.per_s) : std::nullopt;
+}
+
 double link_share_used(const routing_table& table, const endpoint& target, time_point now) {
     // Each node has one endpoint, that of its worker.
     const auto nodes =
--- a/lib/call/worker_view.cpp
+++ b/lib/call/worker_view.cpp
@@ -1,5 +1,7 @@
 #include "waxwingfall/call/worker_view.h"
 
+#include <utility>
+
 namespace waxwingfall {
 
 namespace {
@@ -64,6 +66,8 @@
             view.replaced_ids.insert(view.worker_id);
         }
         view.leaving = false;
+        view.rate_limit.reset();
+        view.has_stated_limit = false;
     }
     if (leaves && !view.leaving) {
         view.leaving_since = now;
@@ -93,6 +97,15 @@
     view.reachable = false;
 }
 
+bool record_stated_limit(worker_view& view, std::optional<double> per_s) {
+    view.has_stated_limit = true;
+    return std::exchange(view.rate_limit, per_s) != per_s;
+}
+
+bool record_relayed_limit(worker_view& view, double per_s) {
+    return !view.has_stated_limit && std::exchange(view.rate_limit, per_s) != per_s;
+}
+
 bool accepts_requests(const worker_view& view) {
     return view.reachable && !view.leaving && !view.worker_id.empty();
 }
--- a/lib/node/call_attempts.cpp
+++ b/lib/node/call_attempts.cpp
@@ -74,6 +74,9 @@
     if (placed.route->kind == request_kind::download) {
         set_header(sent.headers, call_header::large_response, "1");
     }
+    if (const auto limit = known_rate_limit(node_.routing, *endpoint, now)) {
+        set_header(sent.headers, call_header::rate_limit, std::to_string(*limit));
+    }
     if (is_retry || placed.inside_retry) {
         set_header(sent.headers, call_header::retry_attempt,
                    std::to_string(placed.attempted_endpoints.size()));
@@ -111,7 +114,13 @@
         active.report.pause = milliseconds(static_cast<std::int64_t>(*pause));
     }
     const std::string result = header_value(headers, call_header::outcome);
-    if (result != outcome_name(outcome::done)) {
+    const bool is_done = result == outcome_name(outcome::done);
+    if (is_done || read_reason(headers) == error_kind::worker_refused) {
+        record_rate_limit(node_.routing, active.endpoint,
+                          platform::decode_rate_limit(header_value(headers, platform::header::rate_limit)),
+                          monotonic_now());
+    }
+    if (!is_done) {
         // Not forwarded: another attempt may still get a response from a worker.
         active.refused = result == outcome_name(outcome::not_run);
         active.refusal = read_reason(headers);
--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -56,6 +56,9 @@
                               : nullptr;
     admission_.slots = node_.worker.latest_report ? node_.worker.latest_report->slots : node_.settings.slots;
     admission_.queue_limit = default_queue_limit;
+    if (admission_.limit.per_s != node_.worker.rate_limit) {
+        set_rate(admission_.limit, node_.worker.rate_limit, monotonic_now());
+    }
     if (local_service != nullptr) {
         admission_.queue_limit = local_service->queue;
         if (local_service->in_flight > 0) {
@@ -65,7 +68,7 @@
 }
 
 std::vector<http_header> inbound_proxy::with_load(std::vector<http_header> headers) const {
-    headers.push_back({call_header::load, std::to_string(static_cast<int>(load_of(admission_)))});
+    headers.push_back({call_header::load, std::to_string(static_cast<int>(reported_load(admission_)))});
     if (admission_.mean_run_ms > 0) {
         headers.push_back(
             {call_header::mean_run_ms, std::to_string(static_cast<int>(admission_.mean_run_ms) + 1)});
@@ -86,6 +89,10 @@
     new_request->urgency = waiting;
     const std::string fingerprint = new_request->received.fingerprint;
     requests_.emplace(id, std::move(new_request));
+    const auto relayed = platform::decode_rate_limit(request_header(raw, call_header::rate_limit));
+    if (relayed && record_relayed_limit(node_.worker, *relayed)) {
+        apply_rate_limit("peer");
+    }
     apply_admission_limits();
     if (fault) {
         refuse(id, *fault);
@@ -184,14 +191,20 @@
                         {{"worker", node_.worker.worker_id}, {"why", "the rate limit can't be read"}});
         return;
     }
-    if (limit != node_.worker.rate_limit) {
-        node_.worker.rate_limit = limit;
-        node_.log.write(
-            event_id::worker_limit_changed, wall_now(),
-            {{"worker", node_.worker.worker_id}, {"per_s", limit ? std::to_string(*limit) : "none"}});
+    if (record_stated_limit(node_.worker, limit)) {
+        apply_rate_limit("worker");
     }
 }
 
+void inbound_proxy::apply_rate_limit(const std::string& source) {
+    const auto& limit = node_.worker.rate_limit;
+    set_rate(admission_.limit, limit, monotonic_now());
+    node_.log.write(event_id::worker_limit_changed, wall_now(),
+                    {{"worker", node_.worker.worker_id},
+                     {"per_s", limit ? std::to_string(*limit) : "none"},
+                     {"source", source}});
+}
+
 void inbound_proxy::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     observe_rate_limit(headers);
     request& running = *requests_.at(id);
