--- a/lib/link/message_link.cpp
+++ b/lib/link/message_link.cpp
@@ -6,8 +6,8 @@
 
 constexpr int max_frame_bytes = 4 * 1024 * 1024;
 /// A silent connection is replaced after the sum of both, before its node would be declared dead.
-constexpr int heartbeat_interval_ms = 500;
-constexpr int heartbeat_timeout_ms = 1500;
+constexpr int heartbeat_interval_ms = 700;
+constexpr int heartbeat_timeout_ms = 1300;
 constexpr int send_queue_frames = 256;
 constexpr int receive_queue_frames = 4096;
 constexpr int reconnect_initial_ms = 100;
