A worker that says in a response that it leaves gets no request after the drain time

Cause: the header was not read. The node beside the worker now treats it like a heartbeat that says the worker leaves: it tells the other nodes and admits requests for the drain time, counted from before the response is passed on. What a response says is ignored if it was sent to an earlier worker at the address.

InboundProxy.WorkerThatSaysItLeavesGetsNoRequestAfterTheDrainTime failed before (200 and 2 runs instead of 503 and 1) and passes.

--- a/include/waxwingfall/call/worker_view.h
+++ b/include/waxwingfall/call/worker_view.h
@@ -43,6 +43,9 @@
 /// however late its heartbeats arrive.
 void record_leave(worker_view& view, const std::string& worker_id, std::uint64_t incarnation);
 
+/// Records that the worker says in a response that it leaves. True if it had not said so before.
+bool record_leaving(worker_view& view, time_point now);
+
 /// Records that nothing listens at the worker's address.
 void mark_unreachable(worker_view& view);
 
--- a/include/waxwingfall/node/inbound_proxy.h
+++ b/include/waxwingfall/node/inbound_proxy.h
@@ -46,6 +46,8 @@
     void run(std::uint64_t id);
     void apply_queue_update(const queue_update& update);
     void on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers);
+    /// Reads what the worker says of itself in a response.
+    void observe_worker(const request& answered, const std::vector<http_header>& headers);
     void observe_rate_limit(const std::vector<http_header>& headers);
     void apply_rate_limit(const std::string& source);
     void on_data(std::uint64_t id, evbuffer* data);
--- a/lib/call/worker_view.cpp
+++ b/lib/call/worker_view.cpp
@@ -93,6 +93,15 @@
     view.leaving = view.leaving || is_current;
 }
 
+bool record_leaving(worker_view& view, time_point now) {
+    if (view.leaving) {
+        return false;
+    }
+    view.leaving = true;
+    view.leaving_since = now;
+    return true;
+}
+
 void mark_unreachable(worker_view& view) {
     view.reachable = false;
 }
--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -162,12 +162,13 @@
     started.run_id = header_value(started.received.request.headers, platform::header::attempt_id);
     track_run(node_.running, started.run_id);
     started.started_at = now;
+    started.worker_id = node_.worker.worker_id;
     node_.counts.admitted += 1;
     http_request sent = started.received.request;
     const auto remaining_ms = std::max<std::int64_t>(1, elapsed_ms(now, started.deadline));
     set_header(sent.headers, call_header::deadline_ms, std::to_string(remaining_ms));
-    if (!node_.worker.worker_id.empty()) {
-        set_header(sent.headers, platform::header::worker_id, node_.worker.worker_id);
+    if (!started.worker_id.empty()) {
+        set_header(sent.headers, platform::header::worker_id, started.worker_id);
     }
     upstream_callbacks callbacks;
     callbacks.on_headers = [this, id](int status, const std::vector<http_header>& headers) {
@@ -183,6 +184,18 @@
                      std::move(callbacks));
 }
 
+void inbound_proxy::observe_worker(const request& answered, const std::vector<http_header>& headers) {
+    if (answered.worker_id != node_.worker.worker_id) {
+        return;
+    }
+    observe_rate_limit(headers);
+    // Without heartbeats the worker's health endpoint says that it leaves.
+    if (node_.settings.heartbeats && header_value(headers, platform::header::leaving) == "1" &&
+        record_leaving(node_.worker, monotonic_now())) {
+        publish_worker("leaving");
+    }
+}
+
 void inbound_proxy::observe_rate_limit(const std::vector<http_header>& headers) {
     const std::string stated = header_value(headers, platform::header::rate_limit);
     const auto limit = platform::decode_rate_limit(stated);
@@ -206,8 +219,8 @@
 }
 
 void inbound_proxy::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
-    observe_rate_limit(headers);
     request& running = *requests_.at(id);
+    observe_worker(running, headers);
     running.worker_refused =
         status == platform::misdirected_status ||
         (status >= first_failure_status && !header_value(headers, call_header::not_run).empty());
--- a/lib/node/inbound_request.h
+++ b/lib/node/inbound_request.h
@@ -19,7 +19,8 @@
     time_point started_at;
     std::uint64_t upstream = 0;
     bool running = false;
-    std::string run_id; ///< of the request while it runs; empty if it has none
+    std::string run_id;    ///< of the request while it runs; empty if it has none
+    std::string worker_id; ///< to which it was sent; empty if the worker has reported none
     bool worker_refused = false;
     bool large_response = false; ///< holds a reservation in `link_`
     std::size_t response_bytes = 0;
