A connection on which a worker without request ids has refused a request is not used again

Here: responses must repeat the request's X-Attempt-Id, so that on the users' platform the repeated refusal is skipped (Upstream.RepeatedRefusalIsNotTheResponseToTheNextRequest passes before and after). Requests without that header have nothing to compare: the repeated refusal was taken for the answer to the next request.

Such a connection is closed after a failure response. Upstream.ConnectionOfARefusalWithoutIdIsNotReused failed before (1 connection instead of 2) and passes. Connections between nodes, which write no response twice, are kept.

--- a/include/waxwingfall/node/upstream.h
+++ b/include/waxwingfall/node/upstream.h
@@ -28,6 +28,9 @@
     milliseconds timeout{0};             ///< for each read from and write to the peer
     std::optional<http_header> echo;     ///< a response belongs to the request only if it repeats this header
     milliseconds acknowledged_within{0}; ///< for an interim response; 0 if none is expected
+    /// False closes the connection after a failure response: without `echo`, a peer that writes it again
+    /// can't be told from one that fails the next request.
+    bool reuse_after_failure = true;
 };
 
 /// Callbacks for the events of a request, in this order: headers at most once, data any number of times, end
--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -176,12 +176,13 @@
     };
     callbacks.on_data = [this, id](evbuffer* data) { on_data(id, data); };
     callbacks.on_end = [this, id](upstream_end end) { on_end(id, end); };
-    const auto echo = started.run_id.empty()
-                          ? std::nullopt
-                          : std::optional(http_header{platform::header::attempt_id, started.run_id});
-    started.upstream =
-        worker_.send(node_.settings.worker, sent, {milliseconds(remaining_ms), echo, milliseconds(0)},
-                     std::move(callbacks));
+    upstream_options options;
+    options.timeout = milliseconds(remaining_ms);
+    options.reuse_after_failure = !started.run_id.empty();
+    if (!started.run_id.empty()) {
+        options.echo = http_header{platform::header::attempt_id, started.run_id};
+    }
+    started.upstream = worker_.send(node_.settings.worker, sent, options, std::move(callbacks));
 }
 
 void inbound_proxy::observe_worker(const request& answered, const std::vector<http_header>& headers) {
--- a/lib/node/upstream.cpp
+++ b/lib/node/upstream.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint32_t max_response_header_bytes = 64U * 1024;
 constexpr std::int64_t ms_per_s = 1000;
+constexpr unsigned first_failure_status = 400;
 
 /// Bytes of interim responses and of responses to earlier requests that are skipped before the response to a
 /// request; after more, the peer is broken. Responses of the known deployments have up to 1 MB.
@@ -187,7 +188,9 @@
     conn.current = 0;
     // If the response arrived before the full request was written, bytes of this request remain in the
     // output buffer, so the connection cannot be reused.
-    const bool is_reusable = end == upstream_end::complete && conn.stream != nullptr &&
+    const bool allows_reuse =
+        ended->options.reuse_after_failure || conn.parser.status_code < first_failure_status;
+    const bool is_reusable = end == upstream_end::complete && allows_reuse && conn.stream != nullptr &&
                              http_should_keep_alive(&conn.parser) != 0 &&
                              evbuffer_get_length(bufferevent_get_output(conn.stream)) == 0 &&
                              evbuffer_get_length(bufferevent_get_input(conn.stream)) == 0;
--- a/unittests/node/upstream_test.cpp
+++ b/unittests/node/upstream_test.cpp
@@ -71,7 +71,7 @@
     int status = 0;
 };
 
-send_result send_one(event_loop& loop, const ip_address& address) {
+send_result send_one(event_loop& loop, const ip_address& address, milliseconds wait = milliseconds(300)) {
     upstream_pool pool(loop, milliseconds(1000));
     send_result result;
     upstream_callbacks callbacks;
@@ -82,8 +82,8 @@
         result.ends += 1;
     };
     pool.send(address, {EVHTTP_REQ_POST, "/pay", {{"Host", "h"}, {"Content-Length", "1"}}, "x"},
-              {milliseconds(500), std::nullopt, milliseconds(0)}, callbacks);
-    loop.run_for(milliseconds(300));
+              {milliseconds(500), {}, milliseconds(0)}, callbacks);
+    loop.run_for(wait);
     return result;
 }
 
@@ -190,23 +190,30 @@
 }
 
 struct echoed_result {
+    int status = 0;
     std::string body;
     std::optional<upstream_end> end;
 };
 
+/// Sends a request; without an id, responses need not repeat any.
 echoed_result send_with_id(event_loop& loop, upstream_pool& pool, const ip_address& address,
                            const std::string& id) {
     echoed_result result;
     upstream_callbacks callbacks;
-    callbacks.on_headers = [](int, const std::vector<http_header>&) {};
+    callbacks.on_headers = [&](int status, const std::vector<http_header>&) { result.status = status; };
     callbacks.on_data = [&](evbuffer* data) {
         std::string piece(evbuffer_get_length(data), '\0');
         evbuffer_remove(data, piece.data(), piece.size());
         result.body += piece;
     };
     callbacks.on_end = [&](upstream_end end) { result.end = end; };
-    pool.send(address, {EVHTTP_REQ_GET, "/", {{"Host", "h"}, {"X-Id", id}}, {}},
-              {milliseconds(200), http_header{"X-Id", id}, milliseconds(0)}, callbacks);
+    upstream_options options;
+    options.timeout = milliseconds(200);
+    options.reuse_after_failure = !id.empty();
+    if (!id.empty()) {
+        options.echo = http_header{"X-Id", id};
+    }
+    pool.send(address, {EVHTTP_REQ_GET, "/", {{"Host", "h"}, {"X-Id", id}}, {}}, options, callbacks);
     loop.run_for(milliseconds(100));
     return result;
 }
@@ -256,6 +263,35 @@
     EXPECT_EQ(worker.connections(), 1U);
 }
 
+namespace {
+
+const std::string refusal_text = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+// Guards against a false "not run": a worker writes an earlier refusal again on a kept connection.
+TEST(Upstream, RepeatedRefusalIsNotTheResponseToTheNextRequest) {
+    event_loop loop;
+    upstream_pool pool(loop, milliseconds(1000));
+    std::string refusal = refusal_text;
+    refusal.insert(refusal.find("X-Not-Run"), "X-Id: a\r\n");
+    const scripted_worker worker(loop, {refusal, refusal + response_text("b", "own")});
+    EXPECT_EQ(send_with_id(loop, pool, worker.address(), "a").status, 503);
+    const echoed_result second = send_with_id(loop, pool, worker.address(), "b");
+    EXPECT_EQ(std::pair(second.status, second.body), std::pair(200, std::string("own")));
+    EXPECT_EQ(worker.connections(), 1U);
+}
+
+// The same for workers that repeat no id: such a refusal can only be told by its connection.
+TEST(Upstream, ConnectionOfARefusalWithoutIdIsNotReused) {
+    event_loop loop;
+    upstream_pool pool(loop, milliseconds(1000));
+    const scripted_worker worker(loop, {refusal_text, refusal_text + response_text("b", "own")});
+    EXPECT_EQ(send_with_id(loop, pool, worker.address(), "").status, 503);
+    send_with_id(loop, pool, worker.address(), "");
+    EXPECT_EQ(worker.connections(), 2U);
+}
+
 TEST(Upstream, ConnectionWithUnsolicitedBytesIsNotReused) {
     event_loop loop;
     upstream_pool pool(loop, milliseconds(1000));
