Tests that a response that ends in its head is a failure; no response is made up for it

The branch that began a 200 of its own for a complete response without a head could not be reached and is an assertion now.

--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -1,6 +1,7 @@
 #include "waxwingfall/node/inbound_proxy.h"
 
 #include <algorithm>
+#include <cassert>
 #include <optional>
 
 #include "inbound_request.h"
@@ -273,9 +274,7 @@
     log_end(ended, end);
     if (end == upstream_end::complete) {
         failed_probes_ = 0;
-        if (!ended.client->has_started()) {
-            ended.client->begin(status_ok, with_load({}));
-        }
+        assert(ended.client->has_started() && "a complete response has a head");
         ended.client->end();
         remove(id);
         return;
--- a/unittests/node/upstream_test.cpp
+++ b/unittests/node/upstream_test.cpp
@@ -118,6 +118,20 @@
     EXPECT_EQ(worker.requests(), 1);
 }
 
+// Guards against a response that looks whole although its worker stopped in the middle of its head.
+TEST(Upstream, ResponseThatEndsInItsHeadIsReportedAsLost) {
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 4\r\n\r\n";
+    for (const bool resets : {false, true}) {
+        for (std::size_t size = 0; size < head.size(); ++size) {
+            event_loop loop;
+            const one_shot_worker worker(loop, head.substr(0, size), resets);
+            const send_result result = send_one(loop, worker.address(), milliseconds(60));
+            EXPECT_EQ(result.end, upstream_end::lost) << size;
+            EXPECT_EQ(result.status, 0) << size;
+        }
+    }
+}
+
 TEST(Upstream, ResponseWithoutLengthIsCompleteOnlyAfterOrderlyClose) {
     event_loop loop;
     const one_shot_worker orderly(loop, "HTTP/1.1 200 OK\r\n\r\nall of it");
