A node that stops refuses requests that it might have to cut

It happens here: after the notice period the node accepts no connections, but requests on open ones were still passed on, whatever their deadline. test_shutdown.py: a request of 4 s that arrives 1 s after the signal, 2 s before the node stops, lost its connection without an answer.

The test fails before (RemoteDisconnected) and passes: 503, reason leaving; a request with a deadline of 1 s on another open connection is still served.

--- a/include/waxwingfall/cluster/shutdown_plan.h
+++ b/include/waxwingfall/cluster/shutdown_plan.h
@@ -30,6 +30,11 @@
 /// requests in flight need.
 shutdown_plan plan_shutdown(const shutdown_inputs& inputs);
 
+/// True if a node that stops at `stops_at` may still pass on a client's request: only if its deadline comes
+/// first, so that it ends with a response however long it runs. Requests arrive on open connections after the
+/// notice period.
+bool ends_before_shutdown(time_point deadline, time_point stops_at);
+
 } // namespace waxwingfall
 
 #endif
--- a/include/waxwingfall/node/call_proxy.h
+++ b/include/waxwingfall/node/call_proxy.h
@@ -32,7 +32,12 @@
 
     std::size_t open_calls() const { return calls_.size(); }
     std::size_t open_connections() const { return workers_.open_connections(); }
-    void stop_accepting() { server_.stop_accepting(); }
+
+    /// Accepts no new connections. Requests on open ones are refused unless they end before the node stops.
+    void stop_accepting(time_point stops_at) {
+        server_.stop_accepting();
+        stops_at_ = stops_at;
+    }
 
     /// Applies the limits of the active document to new connections.
     void apply_contract_limits();
@@ -88,6 +93,7 @@
     std::map<std::string, struct retry_budget> budgets_; ///< by service name
     client_retry_tracker client_retries_;
     std::uint64_t next_id_ = 1;
+    std::optional<time_point> stops_at_; ///< set after the notice period of a shutdown
     http_server server_;
     loop_event sweep_;
 };
--- a/lib/cluster/shutdown_plan.cpp
+++ b/lib/cluster/shutdown_plan.cpp
@@ -8,6 +8,9 @@
 /// deployment in 0.1 s, and nodes with a tenth of a core process it up to 0.7 s later.
 constexpr milliseconds withdrawal_lead_time{1000};
 
+/// From a request's deadline until its response is written.
+constexpr milliseconds response_margin{200};
+
 } // namespace
 
 shutdown_plan plan_shutdown(const shutdown_inputs& inputs) {
@@ -19,4 +22,8 @@
     return plan;
 }
 
+bool ends_before_shutdown(time_point deadline, time_point stops_at) {
+    return deadline + response_margin <= stops_at;
+}
+
 } // namespace waxwingfall
--- a/lib/node/call_proxy.cpp
+++ b/lib/node/call_proxy.cpp
@@ -5,6 +5,7 @@
 #include "call_state.h"
 #include "waxwingfall/call/call_decisions.h"
 #include "waxwingfall/call/placement.h"
+#include "waxwingfall/cluster/shutdown_plan.h"
 #include "waxwingfall/contract/snapshot.h"
 
 namespace waxwingfall {
@@ -99,6 +100,10 @@
         fail(id, error_kind::deadline_exceeded);
         return;
     }
+    if (stops_at_ && !ends_before_shutdown(started.deadline, *stops_at_)) {
+        fail(id, error_kind::leaving);
+        return;
+    }
     if (is_quarantined(node_.crashes, started.received.fingerprint, now)) {
         fail(id, error_kind::crash_quarantined);
         return;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -269,7 +269,7 @@
     }
     if (plan.refuses_requests) {
         inbound_proxy_.stop_admitting();
-        call_proxy_.stop_accepting();
+        call_proxy_.stop_accepting(shutdown_started_ + settings.shutdown_timeout);
     }
     if (plan.stops) {
         context_.log.write(event_id::node_stopped, wall_now(),
--- a/unittests/cluster/shutdown_plan_test.cpp
+++ b/unittests/cluster/shutdown_plan_test.cpp
@@ -49,3 +49,13 @@
 TEST(ShutdownPlan, WithdrawsImmediatelyIfTheNoticePeriodIsShort) {
     EXPECT_TRUE(plan_shutdown({milliseconds(0), milliseconds(500), limit, false, true}).withdrawn);
 }
+
+// Guards against requests that are passed on late in a shutdown and cut when the node stops.
+TEST(ShutdownPlan, OnlyRequestsWhoseDeadlineComesFirstArePassedOnAfterTheNotice) {
+    const time_point signal{};
+    const time_point stops_at = signal + limit;
+    const time_point arrival = signal + notice;
+    EXPECT_TRUE(ends_before_shutdown(arrival + milliseconds(2000), stops_at));
+    EXPECT_FALSE(ends_before_shutdown(arrival + milliseconds(4000), stops_at));
+    EXPECT_FALSE(ends_before_shutdown(stops_at, stops_at));
+}
--- /dev/null
+++ b/unittests/processes/test_shutdown.py
@@ -0,0 +1,64 @@
+"""Tests with real processes that a planned stop of one node cuts no request."""
+
+import http.client
+import pathlib
+import signal
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "utils"))
+from mesh import http as request, ready_svecu_mesh, wait_for  # noqa: E402
+
+HOST = {"Host": "tirdznieciba.example"}
+NOTICE_MS = 500
+TIMEOUT_MS = 3000
+
+
+class Shutdown(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.mesh = ready_svecu_mesh()
+        cls.addClassCleanup(cls.mesh.stop)
+
+    def connect(self, node):
+        """Returns a connection to the node on which a request has been answered."""
+        host, port = node.calls.split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=10)
+        connection.request("GET", "/", headers=HOST)
+        response = connection.getresponse()
+        response.read()
+        self.assertEqual(response.status, 200)
+        return connection
+
+    def ask(self, connection, path, deadline_ms):
+        connection.request("GET", path, headers=dict(HOST, **{"X-Deadline-Ms": str(deadline_ms)}))
+        response = connection.getresponse()
+        response.read()
+        return response.status, response.getheader("X-Waxwingfall-Reason")
+
+    def test_request_that_comes_late_in_a_planned_stop_is_refused_and_not_cut(self):
+        node = self.mesh.by_name("riga-a-rez-1")
+        node.kill(with_worker=False)
+        node.limits = {"leave_notice_ms": NOTICE_MS, "leave_timeout_ms": TIMEOUT_MS}
+        node.start(with_worker=False)
+        self.mesh.wait_members(self.mesh.nodes, 9, 30)
+        wait_for(lambda: node.version() == 1, 10, "the node enforces version 1")
+        late, brief = self.connect(node), self.connect(node)
+        statuses = []
+        running = threading.Thread(target=lambda: statuses.append(
+            request(node.calls, f"/?run_ms={TIMEOUT_MS - 1000}", headers=HOST, timeout=10)[0]))
+        running.start()
+        time.sleep(0.2)
+        node.process.signal(signal.SIGTERM)
+        time.sleep(1.0)  # the notice period is over
+        self.assertEqual(self.ask(late, "/?run_ms=4000", 8000), (503, "leaving"))
+        self.assertEqual(self.ask(brief, "/", 1000), (200, None))
+        running.join()
+        self.assertEqual(statuses, [200])
+        wait_for(lambda: not node.process.alive(), 10, "the node stops")
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
