--- a/unittests/processes/test_limits.py
+++ b/unittests/processes/test_limits.py
@@ -54,6 +54,7 @@
         recent = samples[-1][1] - next(count for at, count in samples if at >= samples[-1][0] - WINDOW_S)
         self.assertGreater(recent, 0)
         self.assertEqual(report["answered"], report["asked"], report)
+        self.assertIn("peer", {event["source"] for event in limited.events("worker-limit-changed")})
 
 
 if __name__ == "__main__":
