Idle connections are closed once reused ones seem to have gone silent

When an acknowledgement on a reused connection is overdue (0.4 s) and no reused connection has delivered anything since that request was sent, all connections that were idle then are closed; further requests open new ones. A peer that is only slow costs nothing as long as others respond.

Upstream.OverdueAcknowledgementClosesIdleConnectionsThatMayBeSilentToo failed before (1 connection instead of 2) and passes.

--- a/include/waxwingfall/node/upstream.h
+++ b/include/waxwingfall/node/upstream.h
@@ -48,7 +48,8 @@
 
 /// A pool of client connections to workers and nodes. Each connection carries one request at a time. One that
 /// was idle for longer than the reuse limit is closed instead of reused, because a middlebox may have dropped
-/// its state.
+/// its state. All idle connections are closed if reused ones seem to have gone silent: an acknowledgement on
+/// one is overdue, and none has delivered anything since that request was sent.
 class upstream_pool {
 public:
     upstream_pool(const event_loop& loop, milliseconds reuse_limit);
@@ -89,6 +90,7 @@
     void finish(active_request& request, upstream_end end);
     void keep_idle(const std::shared_ptr<connection>& conn);
     void remove_idle(connection& broken);
+    void close_idle_if_silent(const active_request& overdue);
     void deliver(connection& conn, bool is_malformed);
     static void on_readable(bufferevent* stream, void* context);
     static void on_event(bufferevent* stream, short what, void* context);
@@ -99,6 +101,7 @@
     std::map<std::uint64_t, std::unique_ptr<active_request>> active_;
     std::vector<loop_event> failed_connects_;
     std::uint64_t next_id_ = 1;
+    time_point last_delivery_on_reused_; ///< of anything, on a connection that was idle before
 };
 
 } // namespace waxwingfall
--- a/lib/node/upstream.cpp
+++ b/lib/node/upstream.cpp
@@ -61,6 +61,7 @@
     bool acknowledgement_reported = false;
     upstream_callbacks callbacks;
     std::shared_ptr<connection> conn;
+    time_point sent_at;
 };
 
 upstream_pool::upstream_pool(const event_loop& loop, milliseconds reuse_limit)
@@ -102,11 +103,13 @@
     new_request->request = request;
     new_request->options = options;
     new_request->callbacks = std::move(callbacks);
-    new_request->conn = acquire_connection(address, monotonic_now());
+    new_request->sent_at = monotonic_now();
+    new_request->conn = acquire_connection(address, new_request->sent_at);
     connection& conn = *new_request->conn;
     conn.current = id;
     conn.echo = options.echo;
     conn.acknowledged = false;
+    conn.is_reused = conn.connected;
     conn.unrelated_bytes = 0;
     conn.is_head = request.method == EVHTTP_REQ_HEAD;
     conn.headers_ready = false;
@@ -166,6 +169,7 @@
     if (found == active_.end() || found->second->conn->acknowledged) {
         return;
     }
+    close_idle_if_silent(*found->second);
     // Copied because the callback may cancel the request, which destroys it.
     const auto on_overdue = found->second->callbacks.on_acknowledgement_overdue;
     const milliseconds extension = on_overdue ? on_overdue() : milliseconds(0);
@@ -180,6 +184,16 @@
     finish(*still_waiting->second, upstream_end::unacknowledged);
 }
 
+void upstream_pool::close_idle_if_silent(const active_request& overdue) {
+    if (overdue.conn->is_reused && last_delivery_on_reused_ < overdue.sent_at) {
+        for (auto& [address, connections] : idle_) {
+            std::erase_if(connections, [&](const std::shared_ptr<connection>& idle) {
+                return idle->idle_since <= overdue.sent_at;
+            });
+        }
+    }
+}
+
 void upstream_pool::finish(active_request& request, upstream_end end) {
     const auto found = active_.find(request.id);
     const std::unique_ptr<active_request> ended = std::move(found->second);
@@ -272,6 +286,9 @@
         pool.remove_idle(*conn);
         return;
     }
+    if (conn->is_reused) {
+        pool.last_delivery_on_reused_ = monotonic_now();
+    }
     evbuffer* input = bufferevent_get_input(stream);
     bool is_malformed = false;
     while (!conn->complete && !is_malformed && evbuffer_get_length(input) > 0) {
--- a/lib/node/upstream_connection.h
+++ b/lib/node/upstream_connection.h
@@ -27,6 +27,7 @@
     http_parser parser{};
     std::uint64_t current = 0; ///< id of the request that it carries; 0 while idle
     bool connected = false;
+    bool is_reused = false;           ///< it was idle before it carried `current`
     bool is_current_response = false; ///< the response being parsed is the final one to `current`
     bool is_head = false;             ///< the response to a HEAD request has no body
     bool headers_ready = false;
--- a/unittests/node/upstream_test.cpp
+++ b/unittests/node/upstream_test.cpp
@@ -326,3 +326,55 @@
     EXPECT_EQ(send_with_id(loop, pool, worker.address(), "b").body, "own");
     EXPECT_EQ(worker.connections(), 2U);
 }
+
+namespace {
+
+/// Opens one connection to each address and leaves it idle.
+void open_connections(event_loop& loop, upstream_pool& pool, const std::vector<ip_address>& addresses) {
+    for (const ip_address& address : addresses) {
+        send_with_id(loop, pool, address, "a");
+    }
+}
+
+/// Sends a request whose acknowledgement is due after 30 ms, and waits for 100 ms.
+void send_awaited(event_loop& loop, upstream_pool& pool, const ip_address& address) {
+    upstream_callbacks callbacks;
+    callbacks.on_headers = [](int, const std::vector<http_header>&) {};
+    callbacks.on_data = [](evbuffer* data) { evbuffer_drain(data, evbuffer_get_length(data)); };
+    callbacks.on_end = [](upstream_end) {};
+    pool.send(address, {EVHTTP_REQ_GET, "/", {{"Host", "h"}}, {}}, {milliseconds(500), {}, milliseconds(30)},
+              callbacks);
+    loop.run_for(milliseconds(100));
+}
+
+} // namespace
+
+// Guards against requests sent into connections that have all gone silent, one after the other.
+TEST(Upstream, OverdueAcknowledgementClosesIdleConnectionsThatMayBeSilentToo) {
+    event_loop loop;
+    upstream_pool pool(loop, milliseconds(2000));
+    const scripted_worker one(loop, {response_text("a", "first"), ""});
+    const scripted_worker other(loop, {response_text("a", "first"), response_text("b", "second")});
+    open_connections(loop, pool, {one.address(), other.address()});
+    send_awaited(loop, pool, one.address());
+    EXPECT_EQ(send_with_id(loop, pool, other.address(), "b").body, "second");
+    EXPECT_EQ(other.connections(), 2U);
+}
+
+TEST(Upstream, OverdueAcknowledgementOfOnePeerLeavesTheConnectionsOfOthersOpen) {
+    event_loop loop;
+    upstream_pool pool(loop, milliseconds(2000));
+    const scripted_worker slow(loop, {response_text("a", "first"), ""});
+    const scripted_worker other(
+        loop, {response_text("a", "first"), response_text("a", "second"), response_text("b", "third")});
+    open_connections(loop, pool, {slow.address(), other.address()});
+    upstream_callbacks callbacks;
+    callbacks.on_headers = [](int, const std::vector<http_header>&) {};
+    callbacks.on_data = [](evbuffer* data) { evbuffer_drain(data, evbuffer_get_length(data)); };
+    callbacks.on_end = [](upstream_end) {};
+    pool.send(slow.address(), {EVHTTP_REQ_GET, "/", {{"Host", "h"}}, {}},
+              {milliseconds(500), {}, milliseconds(30)}, callbacks);
+    EXPECT_EQ(send_with_id(loop, pool, other.address(), "a").body, "second");
+    EXPECT_EQ(send_with_id(loop, pool, other.address(), "b").body, "third");
+    EXPECT_EQ(other.connections(), 1U);
+}
