--- a/unittests/call/limit_designs_test.cpp
+++ b/unittests/call/limit_designs_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdio>
 #include <deque>
 #include <map>
--- a/unittests/call/rate_limit_test.cpp
+++ b/unittests/call/rate_limit_test.cpp
@@ -1,6 +1,9 @@
 #include "waxwingfall/call/rate_limit.h"
 
+#include <algorithm>
 #include <deque>
+#include <map>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/unittests/node/inbound_proxy_test.cpp
+++ b/unittests/node/inbound_proxy_test.cpp
@@ -6,7 +6,6 @@
 #include <event2/bufferevent.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "loopback.h"
 #include "waxwingfall/link/http.h"
@@ -19,21 +18,15 @@
     return {{"Server-Leaving", "1"}};
 }
 
-ip_address unused_address() {
-    const auto [listener, port] = test::listen_on_loopback();
-    close(listener);
-    return {"127.0.0.1", port};
-}
-
 node_settings make_settings() {
     node_settings settings;
     settings.name = "node";
     settings.data_centre = "d";
     settings.environment = "e";
     settings.service = "s";
-    settings.inbound = unused_address();
-    settings.worker = unused_address();
-    settings.heartbeats = unused_address();
+    settings.inbound = test::unused_address();
+    settings.worker = test::unused_address();
+    settings.heartbeats = test::unused_address();
     settings.drain = milliseconds(200);
     return settings;
 }
--- a/unittests/node/loopback.h
+++ b/unittests/node/loopback.h
@@ -6,6 +6,9 @@
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
+#include <unistd.h>
+
+#include "waxwingfall/link/address.h"
 
 namespace waxwingfall::test {
 
@@ -22,6 +25,13 @@
     return {listener, ntohs(address.sin_port)};
 }
 
+/// Returns a loopback address that nothing listens on.
+inline ip_address unused_address() {
+    const auto [listener, port] = listen_on_loopback();
+    close(listener);
+    return {"127.0.0.1", port};
+}
+
 } // namespace waxwingfall::test
 
 #endif
--- a/unittests/node/platform_agent_test.cpp
+++ b/unittests/node/platform_agent_test.cpp
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include "loopback.h"
 #include "waxwingfall/link/http.h"
@@ -14,13 +13,6 @@
 
 namespace {
 
-/// Returns a loopback port that nothing listens on.
-std::uint16_t unused_port() {
-    const auto [listener, port] = test::listen_on_loopback();
-    close(listener);
-    return port;
-}
-
 /// A store without keys that accepts watches and never responds to them.
 class blocking_watch_store {
 public:
@@ -95,7 +87,7 @@
 // failed right after it.
 TEST(PlatformAgent, BridgeRestartsWatchImmediatelyAfterReadingHead) {
     event_loop loop;
-    const ip_address address{"127.0.0.1", unused_port()};
+    const ip_address address = test::unused_address();
     const blocking_watch_store store(loop, address);
     const node_settings settings = bridge_settings(address);
     event_log log("reader", "/dev/null");
@@ -110,7 +102,7 @@
 // Guards against a late configuration: every node paused after its watch broke, while versions appeared.
 TEST(PlatformAgent, BrokenWatchIsFollowedByAReadOfTheCurrentValueImmediately) {
     event_loop loop;
-    const ip_address address{"127.0.0.1", unused_port()};
+    const ip_address address = test::unused_address();
     const breaking_watch_store store(loop, address);
     node_settings settings = bridge_settings(address);
     settings.source = configuration_source::operator_key;
