--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,73 +1,71 @@
-"""A node is stopped while clients on slow links still receive responses that the node holds complete."""
+"""A worker falls silent while requests run on it and wait for it. Its address goes to a worker of another service."""
 
 import pathlib
-import signal
-import socket
 import sys
 import threading
 import time
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
-from harness import configuration, main, with_trouble  # noqa: E402
+from harness import configuration, main, reset, with_trouble  # noqa: E402
 
 HOST = "shop.example"
-MANUAL = bytes(range(250)) * 2160  # 540 KB, the largest manual of the site
-BYTES_PER_S = 110_000  # what one of eight downloads gets of a link of 7 Mbit/s, the slowest of vfs-mesh-grown
-MSS = 1460  # of an Ethernet link; the loopback device would use segments of 64 KB and buffer whole responses
-SENT_AFTER_SIGTERM_S = 1.8  # clients still come until the second missed readiness check, up to 2 s after the SIGTERM
+REUSE_AFTER_S = 2.0  # bound reuse_after
+RESET_AFTER_S = 0.5  # the new owner of the address resets a connection of the old one at the next keep-alive probe
+SLOTS = 4
+WORK_S = 0.25
+ORDERS_PER_S = 40  # two thirds of what the four workers of the service can run
+PLACES = ["suva", "nadi", "lautoka"]
 
 
 def play(deployment):
-    node = deployment.add_node("sidecar-suva-1", "suva", "workbench", net_mbps=7.0)
-    other = deployment.add_node("sidecar-nadi-1", "nadi", "workbench")
+    services = ["counter"] * 4 + ["workbench"] * 2
+    nodes = [deployment.add_node(f"sidecar-{PLACES[index % 3]}-{index // 3 + 1}", PLACES[index % 3], service)
+             for index, service in enumerate(services)]
     deployment.store.put_configuration(configuration(7, [
-        (HOST, "/manuals/", "download", None, "1200ms", 2, "workbench", 2)], ["workbench"]))
+        (HOST, "/orders/", "non_idempotent", "4000ms", "800ms", 1, "counter", 2),
+        (HOST, "/manuals/", "idempotent", "4000ms", "800ms", 2, "workbench", 2)], ["counter", "workbench"]))
     deployment.start()
-    for index, beside in enumerate((node, other)):
-        deployment.add_worker(beside, "workbench", f"i-workbench-{index}", handle=lambda run: (0.27, 200, MANUAL))
-    for machine in (node, other):
-        deployment.wait_served(machine, "/manuals/0", HOST)
+    workers = [deployment.add_worker(node, node.service, f"i-{node.service}-{index}", slots=SLOTS,
+                                     handle=lambda run: (WORK_S, 200, b"done"))
+               for index, node in enumerate(nodes)]
+    for node in nodes:
+        deployment.wait_served(node, "/orders/0", HOST)
+        deployment.wait_served(node, "/manuals/0", HOST)
     time.sleep(3)  # all machines are in touch
 
-    outcomes = {}
+    asked = []
 
-    def download(identity, client):
-        client.send("GET", "/manuals/1", HOST, identity, 8000)
-        started = time.monotonic()
-        received = b""
-        try:
-            while b"\r\n\r\n" not in received or len(received.split(b"\r\n\r\n", 1)[1]) < len(MANUAL):
-                piece = client.socket.recv(4096)
-                if not piece:
-                    break
-                received += piece
-                time.sleep(max(0, started + len(received) / BYTES_PER_S - time.monotonic()))
-        except OSError as error:
-            deployment.record.write(f"{identity}: {type(error).__name__}")
-        head, _, body = received.partition(b"\r\n\r\n")
-        outcomes[identity] = (head.split(b"\r\n")[0].decode(), len(body), time.monotonic() - started)
-        deployment.record.write(f"client of {identity} has received {outcomes[identity][0]!r} and {len(body)} of "
-                                f"{len(MANUAL)} bytes after {outcomes[identity][2]:.1f} s")
+    def order(index):
+        client = deployment.client(nodes[index % len(nodes)])
+        client.ask("POST", f"/orders/{index}", HOST, f"order-{index}", 5000, b"2 rods")
+        client.close()
 
-    clients = []
-    for _ in range(4):
-        clients.append(deployment.client(node, receive_bytes=8192, mss=MSS))
+    def send_orders(seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            asked.append(threading.Thread(target=order, args=(len(asked) + 1,), daemon=True))
+            asked[-1].start()
+            time.sleep(1 / ORDERS_PER_S)
+
+    send_orders(1.0)
     if with_trouble():
-        node.kill(signal.SIGTERM)
-    time.sleep(SENT_AFTER_SIGTERM_S)
-    threads = [threading.Thread(target=download, args=(f"manual-{index}", client))
-               for index, client in enumerate(clients)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
+        old = workers[0]
+        old.fall_silent()
+        send_orders(REUSE_AFTER_S)
+        deployment.add_worker(nodes[0], "workbench", "i-new", slots=SLOTS, listener=old.listener,
+                              handle=lambda run: (WORK_S, 200, b"done"))
+        deployment.record.write("the address of the silent worker is in use by worker i-new of service workbench")
+        send_orders(RESET_AFTER_S)
+        deployment.record.write("the open connections of the silent worker are reset")
+        for connection in old.connections:
+            reset(connection)
+    send_orders(1.0)
+    for thread in asked:
         thread.join()
-    if with_trouble():
-        node.process.wait()
-        deployment.record.write("the node has ended")
-    return [f"{identity}, sent {SENT_AFTER_SIGTERM_S} s after the SIGTERM and run, ends after {seconds:.1f} s with "
-            f"{size} of {len(MANUAL)} bytes" for identity, (_, size, seconds) in outcomes.items()
-            if size < len(MANUAL)]
+    return [f"{run.method} {run.target} id {run.identity}, whose route goes to service counter only, is run by "
+            f"{run.worker} of service {run.service}"
+            for run in deployment.runs if run.target.startswith("/orders/") and run.service != "counter"]
 
 
 if __name__ == "__main__":
