A watch that the store never answers no longer hides changes for 33 s

Cause: a node's only way to hear of a change by itself was its watch of `op/config`, which waited 30 s and 3 s more for a response. A watch that arrives during the silence never gets one, while its connection stays alive, so the keepalive of a silent connection doesn't help. All nodes start their next watch within 1.2 s of a change, so a silence that begins right after a change takes every watch of the mesh, and no node is left to tell the others.

What was ruled out: pauses after failures (there was no failure), silent connections (the kernel acknowledges), the distribution between nodes (nothing to distribute: no `contract-enforced` and no `platform-read` for 33 s).

Fix: the watches of bridges wait 1.25 s and end 0.75 s later; a failed watch is followed by a read at once, and the pause after further failures is at most 1.2 s on a bridge. A bridge reads again 2 s after the store responds again at the latest; `max_deaf_time` states the sum and a test holds it against the bounds at 9, 88 and 295 nodes. Other nodes keep the long watch, for its price, and replace it when they become a bridge or when peers send a version that the store hasn't notified them of. The same class in `exchange`: its timeout restarted with each byte; now the head has to be complete within the timeout, a body may pause for 1 s and take 6 s.

Log: `platform-read-overdue`. Watches that end without a change are counted, not logged.

--- a/include/waxwingfall/link/http.h
+++ b/include/waxwingfall/link/http.h
@@ -42,10 +42,31 @@
     std::string body;
 };
 
-/// Sends `request` over a dedicated connection and calls `done` exactly once. Meant for control traffic, not
-/// for client requests. A response body over 4 MiB is reported as `no_response`.
-void exchange(const event_loop& loop, const ip_address& address, const http_request& request,
-              milliseconds timeout, std::function<void(const http_response&)> done);
+struct pending_exchange;
+
+/// Refers to a started exchange. Copies refer to the same one; an object may outlive its exchange.
+class exchange_handle {
+public:
+    exchange_handle() = default;
+    explicit exchange_handle(std::weak_ptr<pending_exchange> pending) : pending_(std::move(pending)) {}
+
+    /// True if the head of the response has been received and its body has not ended yet.
+    bool is_receiving() const;
+
+    /// Ends the exchange and closes its connection; its callback is not called. Has no effect on an exchange
+    /// that has ended.
+    void cancel();
+
+private:
+    std::weak_ptr<pending_exchange> pending_;
+};
+
+/// Sends `request` over a dedicated connection and calls `done` exactly once, unless it is cancelled. Meant
+/// for control traffic, not for client requests. A response is reported as `no_response` if its head is not
+/// complete after `timeout`, if its body pauses for a second or takes longer than 6 s, or if that is over
+/// 4 MiB. The connection may be alive all the while.
+exchange_handle exchange(const event_loop& loop, const ip_address& address, const http_request& request,
+                         milliseconds timeout, std::function<void(const http_response&)> done);
 
 /// An HTTP server that buffers requests and responses in full.
 class http_server {
--- a/include/waxwingfall/node/platform_agent.h
+++ b/include/waxwingfall/node/platform_agent.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "waxwingfall/cluster/poll_schedule.h"
 #include "waxwingfall/node/node_context.h"
 #include "waxwingfall/store/head.h"
 #include "waxwingfall/store/store_client.h"
@@ -43,6 +44,9 @@
 private:
     struct watch_state {
         milliseconds interval{0}; ///< from the end of a watch to the start of the next one
+        bool reads_for_others = true;
+        exchange_handle call; ///< the last read or watch
+        time_point started;   ///< of that call
         bool pending = false;
         std::uint64_t revision = 0;     ///< store revision from which the next watch resumes
         std::uint64_t key_revision = 0; ///< revision of the last known change of the key
@@ -55,6 +59,8 @@
     void watch(watch_state& state, const std::string& key, time_point now,
                void (platform_agent::*handler)(const store_response&));
     void poll_configuration(bool reads_for_others, time_point now);
+    /// Gives up the open read if its response is overdue.
+    void replace_overdue_read(const poll_inputs& inputs, time_point now);
     /// Logs the last call, a read of `key`, and the pause until the next one if it failed.
     void log_read(const std::string& key, store_status status, milliseconds pause);
     void handle_head(const store_response& response);
--- a/include/waxwingfall/store/store_client.h
+++ b/include/waxwingfall/store/store_client.h
@@ -60,10 +60,18 @@
 /// Reads all keys that start with `prefix`, page by page. The result is not an atomic snapshot.
 void list_values(const store_client& client, const std::string& prefix, store_callback done);
 
-/// Waits up to `wait` for a change of the key after the store revision `known_revision`. Reads the key
-/// instead if `known_revision` is 0 or if the store no longer retains the history since that revision.
-void watch_value(const store_client& client, const std::string& key, std::uint64_t known_revision,
-                 milliseconds wait, store_callback done);
+/// Times of a watch.
+struct watch_times {
+    milliseconds wait{0};             ///< for a change, after which the store responds without one
+    milliseconds response_timeout{0}; ///< from the end of the wait until the response begins
+    auto operator<=>(const watch_times&) const = default;
+};
+
+/// Waits for a change of the key after the store revision `known_revision`. Reads the key instead, within
+/// `response_timeout`, if `known_revision` is 0 or if the store no longer retains the history since that
+/// revision. The result refers to the watch, or to the read if there is no watch.
+exchange_handle watch_value(const store_client& client, const std::string& key, std::uint64_t known_revision,
+                            const watch_times& times, store_callback done);
 
 /// Writes the key if its revision is `expected_revision`. A key written with a lease is removed when the
 /// lease expires.
--- a/include/waxwingfall/support/event_log.h
+++ b/include/waxwingfall/support/event_log.h
@@ -38,6 +38,7 @@
     reader_started = 313,
     reader_stopped = 314,
     platform_read = 315,
+    platform_read_overdue = 316,
     ledger_map_adopted = 400,
     ledger_owner_replaced = 401,
     worker_crashed = 500,
--- a/lib/link/http.cpp
+++ b/lib/link/http.cpp
@@ -8,6 +8,7 @@
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 namespace waxwingfall {
@@ -17,11 +18,10 @@
 constexpr std::int64_t max_body_bytes = 4L * 1024 * 1024;
 constexpr std::int64_t max_header_bytes = 16L * 1024;
 
-struct pending_exchange {
-    evhttp_connection* connection = nullptr;
-    std::function<void(const http_response&)> done;
-    bool connected = false;
-};
+/// Longest pause between two parts of a response's body.
+constexpr milliseconds max_body_pause{1000};
+/// A body of the maximum size takes 4.8 s on a link of 7 Mbit/s, the slowest of the supported ones.
+constexpr milliseconds max_body_time{6000};
 
 std::string buffer_text(evbuffer* buffer) {
     std::string text(evbuffer_get_length(buffer), '\0');
@@ -29,44 +29,113 @@
     return text;
 }
 
+} // namespace
+
+struct pending_exchange {
+    const event_loop* loop = nullptr;
+    evhttp_connection* connection = nullptr;
+    std::function<void(const http_response&)> done;
+    bool connected = false;
+    bool has_head = false;
+    loop_event deadline;
+    std::shared_ptr<pending_exchange> self; ///< keeps the exchange until it has ended
+};
+
+namespace {
+
 void on_error(evhttp_request_error /*error*/, void* context) {
     // libevent calls this only once the connection is established, so the server may have received the
     // request.
     static_cast<pending_exchange*>(context)->connected = true;
 }
 
-void on_done(evhttp_request* request, void* context) {
-    const std::unique_ptr<pending_exchange> pending(static_cast<pending_exchange*>(context));
+void end_exchange(pending_exchange& pending, const http_response& result) {
+    const auto ended = std::move(pending.self);
+    ended->deadline = {};
+    ended->done(result);
+}
+
+http_response failed_response(bool may_have_been_sent) {
     http_response result;
-    const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
-    if (status != 0) {
-        result.delivery_status = http_response::delivery::response_received;
-        result.status = status;
-        const evkeyvalq* headers = evhttp_request_get_input_headers(request);
-        for (const evkeyval* header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
-            result.headers.push_back({header->key, header->value});
-        }
-        result.body = buffer_text(evhttp_request_get_input_buffer(request));
-    } else {
-        const bool may_have_been_sent = request == nullptr || pending->connected;
-        result.delivery_status = may_have_been_sent ? http_response::delivery::no_response
-                                                    : http_response::delivery::not_connected;
-    }
+    result.delivery_status =
+        may_have_been_sent ? http_response::delivery::no_response : http_response::delivery::not_connected;
+    return result;
+}
+
+void on_done(evhttp_request* request, void* context) {
+    auto& pending = *static_cast<pending_exchange*>(context);
     // A connection must not be freed inside its own callback.
     event_base_once(
-        evhttp_connection_get_base(pending->connection), -1, EV_TIMEOUT,
+        evhttp_connection_get_base(pending.connection), -1, EV_TIMEOUT,
         [](evutil_socket_t, short, void* connection) {
             evhttp_connection_free(static_cast<evhttp_connection*>(connection));
         },
-        pending->connection, nullptr);
-    pending->done(result);
+        pending.connection, nullptr);
+    const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
+    if (status == 0) {
+        end_exchange(pending, failed_response(request == nullptr || pending.connected));
+        return;
+    }
+    http_response result;
+    result.delivery_status = http_response::delivery::response_received;
+    result.status = status;
+    const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+    for (const evkeyval* header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
+        result.headers.push_back({header->key, header->value});
+    }
+    result.body = buffer_text(evhttp_request_get_input_buffer(request));
+    end_exchange(pending, result);
+}
+
+bool is_connected(evhttp_connection* connection) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    const evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    return getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+}
+
+/// Ends the exchange after `limit`. libevent's own timeout starts again with each byte.
+void set_deadline(pending_exchange& pending, milliseconds limit) {
+    pending.deadline = loop_event::after(*pending.loop, limit, [&pending] {
+        const bool may_have_been_sent = is_connected(pending.connection);
+        // Frees the request as well, without calling `on_done`.
+        evhttp_connection_free(pending.connection);
+        end_exchange(pending, failed_response(may_have_been_sent));
+    });
+}
+
+int on_head(evhttp_request* request, void* context) {
+    auto& pending = *static_cast<pending_exchange*>(context);
+    pending.has_head = true;
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    const timeval pause = to_timeval(max_body_pause);
+    evhttp_connection_set_timeout_tv(connection, &pause);
+    set_deadline(pending, max_body_time);
+    return 0;
 }
 
 } // namespace
 
-void exchange(const event_loop& loop, const ip_address& address, const http_request& request,
-              milliseconds timeout, std::function<void(const http_response&)> done) {
-    auto* pending = new pending_exchange;
+bool exchange_handle::is_receiving() const {
+    const auto pending = pending_.lock();
+    return pending && pending->self && pending->has_head;
+}
+
+void exchange_handle::cancel() {
+    const auto pending = pending_.lock();
+    if (!pending || !pending->self) {
+        return;
+    }
+    pending->deadline = {};
+    evhttp_connection_free(pending->connection);
+    pending->self.reset();
+}
+
+exchange_handle exchange(const event_loop& loop, const ip_address& address, const http_request& request,
+                         milliseconds timeout, std::function<void(const http_response&)> done) {
+    const auto pending = std::make_shared<pending_exchange>();
+    pending->self = pending;
+    pending->loop = &loop;
     pending->done = std::move(done);
     pending->connection =
         evhttp_connection_base_new(loop.base(), nullptr, address.host.c_str(), address.port);
@@ -74,8 +143,9 @@
     evhttp_connection_set_timeout_tv(pending->connection, &limit);
     evhttp_connection_set_max_body_size(pending->connection, max_body_bytes);
     evhttp_connection_set_max_headers_size(pending->connection, max_header_bytes);
-    evhttp_request* raw = evhttp_request_new(on_done, pending);
+    evhttp_request* raw = evhttp_request_new(on_done, pending.get());
     evhttp_request_set_error_cb(raw, on_error);
+    evhttp_request_set_header_cb(raw, on_head);
     evkeyvalq* headers = evhttp_request_get_output_headers(raw);
     evhttp_add_header(headers, "Host", address.host.c_str());
     evhttp_add_header(headers, "Connection", "close");
@@ -87,18 +157,16 @@
     }
     if (evhttp_make_request(pending->connection, raw, request.method, request.path.c_str()) != 0) {
         // libevent calls no callback for a connection attempt that failed to start.
-        event_base_once(
-            loop.base(), -1, EV_TIMEOUT,
-            [](evutil_socket_t, short, void* context) {
-                const std::unique_ptr<pending_exchange> failed(static_cast<pending_exchange*>(context));
-                evhttp_connection_free(failed->connection);
-                failed->done({});
-            },
-            pending, nullptr);
-        return;
+        pending->deadline = loop_event::after(loop, milliseconds(0), [failed = pending.get()] {
+            evhttp_connection_free(failed->connection);
+            end_exchange(*failed, failed_response(false));
+        });
+        return exchange_handle(pending);
     }
     set_stream_options(bufferevent_getfd(evhttp_connection_get_bufferevent(pending->connection)),
                        silence_limit::short_limit);
+    set_deadline(*pending, timeout);
+    return exchange_handle(pending);
 }
 
 http_server::http_server(const event_loop& loop, const ip_address& address, handler on_request)
--- a/lib/node/platform_agent.cpp
+++ b/lib/node/platform_agent.cpp
@@ -6,7 +6,6 @@
 
 #include "platform/configuration_wire.h"
 #include "waxwingfall/cluster/bridge_activation.h"
-#include "waxwingfall/cluster/poll_schedule.h"
 #include "waxwingfall/contract/snapshot.h"
 #include "waxwingfall/support/digest.h"
 
@@ -14,7 +13,6 @@
 
 namespace {
 
-constexpr milliseconds watch_timeout{30'000};
 constexpr milliseconds body_retry_pause{300};
 constexpr milliseconds seed_lease_ttl{15'000};
 constexpr milliseconds seed_renewal_period{5'000};
@@ -141,18 +139,32 @@
         last_held_version_ = held;
         learned_at_ = now;
     }
-    const poll_schedule plan =
-        schedule_poll({reads_for_others, head_.next_attempt, learned_at_, held > polled_version_});
+    const poll_inputs inputs{reads_for_others, head_.next_attempt, learned_at_, held > polled_version_};
+    replace_overdue_read(inputs, now);
+    const poll_schedule plan = schedule_poll(inputs);
     if (head_.pending || now < plan.at) {
         return;
     }
     head_.interval = poll_interval(reads_for_others);
+    head_.reads_for_others = reads_for_others;
     if (plan.reads_current) {
         head_.revision = 0;
     }
     watch(head_, platform::configuration_key, now, &platform_agent::handle_configuration);
 }
 
+void platform_agent::replace_overdue_read(const poll_inputs& inputs, time_point now) {
+    if (!head_.pending || !is_overdue({head_.started, head_.call.is_receiving()}, inputs, now)) {
+        return;
+    }
+    head_.call.cancel();
+    head_.pending = false;
+    head_.revision = 0;
+    node_.log.write(
+        event_id::platform_read_overdue, wall_now(),
+        {{"key", platform::configuration_key}, {"after_ms", std::to_string(elapsed_ms(head_.started, now))}});
+}
+
 void platform_agent::watch(watch_state& state, const std::string& key, time_point now,
                            void (platform_agent::*handler)(const store_response&)) {
     if (state.pending || now < state.next_attempt) {
@@ -166,12 +178,15 @@
             state.failures += 1;
             // Several versions may have been accepted meanwhile. A watch would return each of them in full.
             state.revision = 0;
-            const milliseconds pause = pause_after_failures(state.failures, node_.random);
+            const milliseconds pause =
+                pause_after_failures(state.failures, state.reads_for_others, node_.random);
             state.next_attempt = monotonic_now() + pause;
             log_read(key, response.status, pause);
             return;
         }
-        log_read(key, response.status, milliseconds(0));
+        if (response.status != store_status::unchanged) {
+            log_read(key, response.status, milliseconds(0));
+        }
         state.failures = 0;
         state.revision = response.store_revision;
         state.next_attempt = monotonic_now() + jittered(state.interval, node_.random);
@@ -183,7 +198,10 @@
             watch(state, key, monotonic_now(), handler);
         }
     };
-    watch_value(client_, key, state.revision, watch_timeout, done);
+    const read_limits limits = limits_of_reads(state.reads_for_others);
+    state.started = now;
+    state.call =
+        watch_value(client_, key, state.revision, {limits.watch_wait, limits.response_timeout}, done);
 }
 
 void platform_agent::log_read(const std::string& key, store_status status, milliseconds pause) {
--- a/lib/store/store_client.cpp
+++ b/lib/store/store_client.cpp
@@ -13,9 +13,6 @@
 
 namespace http_status = platform::store_http_status;
 
-/// Added to the wait time of a watch for the transfer of the response.
-constexpr milliseconds watch_timeout_margin{3000};
-
 store_status status_of(const http_response& response) {
     if (response.delivery_status == http_response::delivery::not_connected) {
         return store_status::not_reached;
@@ -36,19 +33,19 @@
 }
 
 /// Sends a request and passes its status and the HTTP response to `handle`.
-void call(const store_client& client, std::string_view name, const http_request& request,
-          milliseconds timeout, std::function<void(store_response, const http_response&)> handle) {
-    exchange(*client.loop, client.address, request, timeout,
-             [name, started = monotonic_now(), on_end = client.on_end,
-              handle = std::move(handle)](const http_response& response) {
-                 store_response result;
-                 result.status = status_of(response);
-                 if (on_end) {
-                     on_end({name, result.status, milliseconds(elapsed_ms(started, monotonic_now())),
-                             response.body.size()});
-                 }
-                 handle(std::move(result), response);
-             });
+exchange_handle call(const store_client& client, std::string_view name, const http_request& request,
+                     milliseconds timeout, std::function<void(store_response, const http_response&)> handle) {
+    return exchange(*client.loop, client.address, request, timeout,
+                    [name, started = monotonic_now(), on_end = client.on_end,
+                     handle = std::move(handle)](const http_response& response) {
+                        store_response result;
+                        result.status = status_of(response);
+                        if (on_end) {
+                            on_end({name, result.status, milliseconds(elapsed_ms(started, monotonic_now())),
+                                    response.body.size()});
+                        }
+                        handle(std::move(result), response);
+                    });
 }
 
 /// The result for a response that can't be decoded: it proves neither that a write took effect nor that it
@@ -103,25 +100,27 @@
 
 /// Reads a key by listing it as a prefix: unlike the response for an absent key, a list response always
 /// contains the store revision.
-void read_current(const store_client& client, const std::string& key, store_callback done) {
-    call(client, "list", platform::encode_list(key, {}), client.timeout,
-         [key, done = std::move(done)](store_response result, const http_response& response) {
-             if (result.status != store_status::ok) {
-                 done(result);
-                 return;
-             }
-             const auto page = platform::decode_page(response.body);
-             if (!page) {
-                 done(malformed_response());
-                 return;
-             }
-             const auto found = std::find_if(page->values.begin(), page->values.end(),
-                                             [&](const stored_value& value) { return value.key == key; });
-             result.store_revision = page->store_revision;
-             result.status = found == page->values.end() ? store_status::absent : store_status::ok;
-             result.value = found == page->values.end() ? stored_value{key, {}, 0} : *found;
-             done(result);
-         });
+exchange_handle read_current(const store_client& client, const std::string& key, milliseconds timeout,
+                             store_callback done) {
+    return call(client, "list", platform::encode_list(key, {}), timeout,
+                [key, done = std::move(done)](store_response result, const http_response& response) {
+                    if (result.status != store_status::ok) {
+                        done(result);
+                        return;
+                    }
+                    const auto page = platform::decode_page(response.body);
+                    if (!page) {
+                        done(malformed_response());
+                        return;
+                    }
+                    const auto found =
+                        std::find_if(page->values.begin(), page->values.end(),
+                                     [&](const stored_value& value) { return value.key == key; });
+                    result.store_revision = page->store_revision;
+                    result.status = found == page->values.end() ? store_status::absent : store_status::ok;
+                    result.value = found == page->values.end() ? stored_value{key, {}, 0} : *found;
+                    done(result);
+                });
 }
 
 void write(const store_client& client, const store_write& request, store_callback done) {
@@ -179,36 +178,37 @@
     list_page(std::make_shared<listing>(listing{client, prefix, std::move(done), {}}));
 }
 
-void watch_value(const store_client& client, const std::string& key, std::uint64_t known_revision,
-                 milliseconds wait, store_callback done) {
+exchange_handle watch_value(const store_client& client, const std::string& key, std::uint64_t known_revision,
+                            const watch_times& times, store_callback done) {
     if (known_revision == 0) {
-        read_current(client, key, std::move(done));
-        return;
+        return read_current(client, key, times.response_timeout, std::move(done));
     }
-    call(client, "watch", platform::encode_watch(key, known_revision, wait), wait + watch_timeout_margin,
-         [client, key, done = std::move(done)](store_response result, const http_response& response) {
-             if (response.delivery_status == http_response::delivery::response_received &&
-                 response.status == http_status::history_gone) {
-                 read_current(client, key, done);
-                 return;
-             }
-             if (result.status != store_status::ok) {
-                 done(result);
-                 return;
-             }
-             const auto changes = platform::decode_changes(response.body);
-             if (!changes) {
-                 done(malformed_response());
-                 return;
-             }
-             result.store_revision = changes->store_revision;
-             const auto change = last_change(*changes, key);
-             result.status = !change                 ? store_status::unchanged
-                             : change->revision == 0 ? store_status::absent
-                                                     : store_status::ok;
-             result.value = change.value_or(stored_value{key, {}, 0});
-             done(result);
-         });
+    return call(client, "watch", platform::encode_watch(key, known_revision, times.wait),
+                times.wait + times.response_timeout,
+                [client, key, timeout = times.response_timeout,
+                 done = std::move(done)](store_response result, const http_response& response) {
+                    if (response.delivery_status == http_response::delivery::response_received &&
+                        response.status == http_status::history_gone) {
+                        read_current(client, key, timeout, done);
+                        return;
+                    }
+                    if (result.status != store_status::ok) {
+                        done(result);
+                        return;
+                    }
+                    const auto changes = platform::decode_changes(response.body);
+                    if (!changes) {
+                        done(malformed_response());
+                        return;
+                    }
+                    result.store_revision = changes->store_revision;
+                    const auto change = last_change(*changes, key);
+                    result.status = !change                 ? store_status::unchanged
+                                    : change->revision == 0 ? store_status::absent
+                                                            : store_status::ok;
+                    result.value = change.value_or(stored_value{key, {}, 0});
+                    done(result);
+                });
 }
 
 void write_value(const store_client& client, const std::string& key, std::uint64_t expected_revision,
--- a/lib/support/event_log.cpp
+++ b/lib/support/event_log.cpp
@@ -52,6 +52,7 @@
     event_row{reader_started, "reader-started", "info"},
     event_row{reader_stopped, "reader-stopped", "info"},
     event_row{platform_read, "platform-read", "info", failure_rate},
+    event_row{platform_read_overdue, "platform-read-overdue", "warn", failure_rate},
     event_row{ledger_map_adopted, "ledger-map-adopted", "info"},
     event_row{ledger_owner_replaced, "ledger-owner-replaced", "warn"},
     event_row{worker_crashed, "worker-crashed", "error"},
--- a/unittests/cluster/poll_schedule_test.cpp
+++ b/unittests/cluster/poll_schedule_test.cpp
@@ -80,6 +80,30 @@
     return result;
 }
 
+/// Returns how long after the end of a silence of the store a node reads again, depending on its own reads
+/// alone. Calls that arrive during the silence get no response, nor do watches that are open when it begins.
+milliseconds deaf_time_after(milliseconds silent_from, milliseconds silent_for, bool reads_for_others,
+                             unsigned seed) {
+    random_source random(seed);
+    const read_limits limits = limits_of_reads(reads_for_others);
+    const milliseconds silent_until = silent_from + silent_for;
+    std::uint32_t failures = 0;
+    milliseconds at{0};
+    while (true) {
+        const bool is_watch = failures == 0;
+        const milliseconds response_at = at + (is_watch ? limits.watch_wait : milliseconds(0));
+        if (at >= silent_until) {
+            return at - silent_until;
+        }
+        if (response_at < silent_from) {
+            at = response_at + jittered(poll_interval(reads_for_others), random);
+            continue;
+        }
+        at = response_at + limits.response_timeout +
+             pause_after_failures(++failures, reads_for_others, random);
+    }
+}
+
 /// Versions every 330 ms for 7 s, as when the configuration of a large deployment changes in quick
 /// succession.
 std::vector<milliseconds> frequent_versions() {
@@ -125,7 +149,7 @@
 // Guards against a late configuration: nodes paused after a connection had broken, while versions appeared.
 TEST(PollSchedule, FirstFailureCausesNoPause) {
     random_source random(1);
-    EXPECT_EQ(pause_after_failures(1, random), milliseconds(0));
+    EXPECT_EQ(pause_after_failures(1, false, random), milliseconds(0));
 }
 
 // Guards against a late configuration: a node that the store had refused for long polled 7.5 s after its
@@ -135,8 +159,52 @@
     constexpr std::uint32_t many = 1000;
     constexpr milliseconds held_after{3000};
     for (std::uint32_t failures = 1; failures < many; ++failures) {
-        EXPECT_LE(pause_after_failures(failures, random), held_after) << failures;
+        EXPECT_LE(pause_after_failures(failures, false, random), held_after) << failures;
     }
-    EXPECT_GE(pause_after_failures(2, random), milliseconds(150));
-    EXPECT_GE(pause_after_failures(many, random), milliseconds(1000));
+    for (std::uint32_t failures = 1; failures < many; ++failures) {
+        EXPECT_LE(pause_after_failures(failures, true, random), limits_of_reads(true).max_pause) << failures;
+    }
+    EXPECT_GE(pause_after_failures(2, false, random), milliseconds(150));
+    EXPECT_GE(pause_after_failures(many, false, random), milliseconds(1000));
+}
+
+// Guards against a late configuration: bridges missed changes for up to 33 s after a silence of the store.
+RC_GTEST_PROP(PollSchedule, BridgeReadsSoonAfterASilenceOfTheStore, ()) {
+    const auto silent_from = milliseconds(*rc::gen::inRange(0, 10'000));
+    const auto silent_for = milliseconds(*rc::gen::inRange(0, 30'000));
+    const auto seed = *rc::gen::arbitrary<unsigned>();
+    RC_ASSERT(deaf_time_after(silent_from, silent_for, true, seed) <= max_deaf_time(limits_of_reads(true)));
+}
+
+// Guards against a bridge that reads again only after nodes are held to the bound of configurations again.
+TEST(PollSchedule, DeafTimeOfBridgesFitsIntoTheBoundsOfEachDeployment) {
+    struct deployment {
+        int nodes;
+        milliseconds stable;
+    };
+    constexpr milliseconds read_time{500};
+    constexpr milliseconds distribution_time{500};
+    for (const deployment& site : {deployment{9, milliseconds(3000)}, deployment{88, milliseconds(3000)},
+                                   deployment{295, milliseconds(4000)}}) {
+        EXPECT_LE(max_deaf_time(limits_of_reads(true)) + read_time + distribution_time, site.stable)
+            << site.nodes;
+    }
+}
+
+TEST(PollSchedule, ReadIsOverdueOnceAVersionOfAPeerShouldHaveBeenNotified) {
+    const open_read read{start, false};
+    const poll_inputs follower{false, start, start + milliseconds(500), true};
+    EXPECT_FALSE(is_overdue(read, follower, start + milliseconds(1400)));
+    EXPECT_TRUE(is_overdue(read, follower, start + milliseconds(1600)));
+    EXPECT_FALSE(is_overdue({start, true}, follower, start + milliseconds(1600)));
+    const open_read later{start + milliseconds(600), false};
+    EXPECT_FALSE(is_overdue(later, follower, start + milliseconds(1600)));
+    const poll_inputs up_to_date{false, start, start + milliseconds(500), false};
+    EXPECT_FALSE(is_overdue(read, up_to_date, start + milliseconds(29'000)));
+}
+
+TEST(PollSchedule, LongWatchOfANodeThatHasBecomeABridgeIsOverdue) {
+    const poll_inputs bridge{true, start, start, false};
+    EXPECT_FALSE(is_overdue({start, false}, bridge, start + milliseconds(2000)));
+    EXPECT_TRUE(is_overdue({start, false}, bridge, start + milliseconds(2100)));
 }
--- a/unittests/link/http_test.cpp
+++ b/unittests/link/http_test.cpp
@@ -1,6 +1,9 @@
 #include "waxwingfall/link/http.h"
 
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <event2/bufferevent.h>
@@ -101,3 +104,127 @@
     loop.run_for(milliseconds(100));
     EXPECT_TRUE(is_checked);
 }
+
+namespace {
+
+/// A server that accepts connections and writes what the test tells it to, on connections that stay alive.
+class scripted_server {
+public:
+    scripted_server(const event_loop& loop, std::string bytes, milliseconds byte_period)
+        : bytes_(std::move(bytes)) {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+        listen(listener_, 1);
+        socklen_t size = sizeof(address);
+        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+        address_ = {"127.0.0.1", ntohs(address.sin_port)};
+        accept_ = loop_event::on_readable(loop, listener_, [this, &loop, byte_period] {
+            client_ = accept(listener_, nullptr, nullptr);
+            writes_ = loop_event::every(loop, byte_period, [this] { write_byte(); });
+        });
+    }
+    ~scripted_server() {
+        close(client_);
+        close(listener_);
+    }
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+    scripted_server(scripted_server&&) = delete;
+    scripted_server& operator=(scripted_server&&) = delete;
+
+    const ip_address& address() const { return address_; }
+
+private:
+    void write_byte() {
+        if (written_ < bytes_.size()) {
+            send(client_, &bytes_[written_++], 1, MSG_NOSIGNAL);
+        }
+    }
+
+    std::string bytes_;
+    std::size_t written_ = 0;
+    int listener_ = -1;
+    int client_ = -1;
+    ip_address address_;
+    loop_event accept_;
+    loop_event writes_;
+};
+
+/// An exchange with a server, and when and how it ended.
+struct timed_exchange {
+    timed_exchange(const event_loop& loop, const ip_address& address, milliseconds timeout)
+        : started(monotonic_now()), handle(exchange(loop, address, {EVHTTP_REQ_GET, "/", {}, {}}, timeout,
+                                                    [this](const http_response& response) {
+                                                        ended = monotonic_now();
+                                                        delivery = response.delivery_status;
+                                                    })) {}
+    time_point started;
+    std::optional<time_point> ended;
+    http_response::delivery delivery = http_response::delivery::response_received;
+    exchange_handle handle;
+};
+
+} // namespace
+
+// Guards against a store whose head trickles in: each byte restarted the timeout.
+TEST(HttpClient, HeadThatArrivesByteByByteDoesNotExtendTheTimeout) {
+    event_loop loop;
+    const scripted_server server(loop, "HTTP/1.1 200 OK" + std::string(200, ' '), milliseconds(50));
+    const timed_exchange waiting(loop, server.address(), milliseconds(300));
+    loop.run_for(milliseconds(1000));
+    ASSERT_TRUE(waiting.ended);
+    EXPECT_LT(elapsed_ms(waiting.started, *waiting.ended), 500);
+    EXPECT_EQ(waiting.delivery, http_response::delivery::no_response);
+}
+
+// Guards against a late configuration: a watch whose response stopped half way was open for 30 s more.
+TEST(HttpClient, BodyThatStopsHalfWayIsNoticedWithinASecond) {
+    event_loop loop;
+    const scripted_server server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", milliseconds(1));
+    const timed_exchange waiting(loop, server.address(), milliseconds(30'000));
+    loop.run_for(milliseconds(500));
+    EXPECT_TRUE(waiting.handle.is_receiving());
+    loop.run_for(milliseconds(1000));
+    ASSERT_TRUE(waiting.ended);
+    EXPECT_EQ(waiting.delivery, http_response::delivery::no_response);
+    EXPECT_FALSE(waiting.handle.is_receiving());
+}
+
+TEST(HttpClient, CancelledExchangeDoesNotCallBack) {
+    event_loop loop;
+    const scripted_server server(loop, "", milliseconds(10));
+    timed_exchange waiting(loop, server.address(), milliseconds(200));
+    loop.run_for(milliseconds(50));
+    waiting.handle.cancel();
+    waiting.handle.cancel();
+    loop.run_for(milliseconds(400));
+    EXPECT_FALSE(waiting.ended);
+}
+
+TEST(HttpClient, ConnectionThatIsNotAcceptedInTimeIsReportedAsNotConnected) {
+    event_loop loop;
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    listen(listener, 0);
+    socklen_t size = sizeof(address);
+    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    std::vector<int> queued;
+    for (int count = 0; count < 3; ++count) {
+        queued.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        connect(queued.back(), reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    }
+    const timed_exchange waiting(loop, {"127.0.0.1", ntohs(address.sin_port)}, milliseconds(200));
+    loop.run_for(milliseconds(500));
+    ASSERT_TRUE(waiting.ended);
+    EXPECT_EQ(waiting.delivery, http_response::delivery::not_connected);
+    for (const int client : queued) {
+        close(client);
+    }
+    close(listener);
+}
--- a/unittests/node/platform_agent_test.cpp
+++ b/unittests/node/platform_agent_test.cpp
@@ -1,5 +1,6 @@
 #include "waxwingfall/node/platform_agent.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -71,6 +72,91 @@
     http_server server_;
 };
 
+/// A store without keys that never responds to watches, on connections that stay alive, and records the times
+/// of the calls for the operator's key.
+class silent_watch_store {
+public:
+    silent_watch_store(const event_loop& loop, const ip_address& address)
+        : server_(loop, address, [this](evhttp_request* request) { receive(request); }) {}
+
+    /// Times of all reads of the key, the first one included.
+    const std::vector<time_point>& reads() const { return reads_; }
+    const std::vector<time_point>& watches() const { return watches_; }
+
+private:
+    void receive(evhttp_request* request) {
+        const bool is_for_key = query_value(request, "prefix") == "op/config";
+        if (request_path(request) == "/kv-watch") {
+            watches_.push_back(monotonic_now());
+            return;
+        }
+        if (is_for_key) {
+            reads_.push_back(monotonic_now());
+        }
+        send_response(request, 200, R"({"items":[],"has_more":false,"as_of":5})");
+    }
+
+    std::vector<time_point> reads_;
+    std::vector<time_point> watches_;
+    http_server server_;
+};
+
+/// An agent that reads the operator's key from a store that never responds to watches.
+class tested_reader {
+public:
+    tested_reader()
+        : store_(loop_, address_), settings_(make_settings(address_)), log_("reader", "/dev/null"),
+          context_(loop_, settings_, log_, 1), agent_(context_, [](const control_plane_effects&) {}),
+          ticks_(loop_event::every(loop_, milliseconds(10), [this] { agent_.tick(monotonic_now()); })) {
+        context_.control.nodes.joined = true;
+    }
+
+    /// Adds nodes or changes their state, so that they are the bridges while they are alive.
+    void set_peers(member_state state, std::uint64_t incarnation) {
+        for (int index = 0; local_bridge_rank(nodes()).has_value() || state != member_state::alive; ++index) {
+            if (state != member_state::alive && index == added_) {
+                return;
+            }
+            member peer;
+            peer.name = "peer" + std::to_string(index);
+            peer.id = 1 + static_cast<member_id>(index);
+            peer.data_centre = settings_.data_centre;
+            peer.state = state;
+            peer.incarnation = incarnation;
+            merge_members(nodes(), {peer}, settings_.data_centre, monotonic_now());
+            added_ = std::max(added_, index + 1);
+        }
+    }
+
+    /// As if a peer had sent a newer version.
+    void hold_version(std::uint64_t version) { context_.control.contracts.held.id.version = version; }
+
+    membership& nodes() { return context_.control.nodes; }
+    const silent_watch_store& store() const { return store_; }
+    void wait(milliseconds time) { loop_.run_for(time); }
+
+private:
+    static node_settings make_settings(const ip_address& store) {
+        node_settings settings;
+        settings.name = "reader";
+        settings.data_centre = "d";
+        settings.environment = "e";
+        settings.platform = store;
+        settings.source = configuration_source::operator_key;
+        return settings;
+    }
+
+    event_loop loop_;
+    ip_address address_ = test::unused_address();
+    silent_watch_store store_;
+    node_settings settings_;
+    event_log log_;
+    node_context context_;
+    platform_agent agent_;
+    loop_event ticks_;
+    int added_ = 0;
+};
+
 node_settings bridge_settings(const ip_address& store) {
     node_settings settings;
     settings.name = "reader";
@@ -117,3 +203,36 @@
     EXPECT_LT(*store.pause(), milliseconds(100));
     EXPECT_TRUE(store.next_reads_current());
 }
+
+// Guards against a late configuration: a bridge whose watch the store never answered read again after 33 s.
+TEST(PlatformAgent, BridgeReadsAgainAfterAWatchWithoutAResponse) {
+    tested_reader reader;
+    reader.wait(milliseconds(4000));
+    ASSERT_FALSE(reader.store().watches().empty());
+    ASSERT_GE(reader.store().reads().size(), 2U);
+    EXPECT_LE(elapsed_ms(reader.store().watches().front(), reader.store().reads()[1]),
+              max_deaf_time(limits_of_reads(true)).count() + 100);
+}
+
+// Guards against a late configuration: followers depended on their bridges alone for up to 33 s.
+TEST(PlatformAgent, FollowerReadsAgainIfItsWatchMissedAVersionOfItsPeers) {
+    tested_reader reader;
+    reader.set_peers(member_state::alive, 1);
+    reader.wait(milliseconds(2500));
+    ASSERT_EQ(reader.store().watches().size(), 1U);
+    ASSERT_EQ(reader.store().reads().size(), 1U);
+    reader.hold_version(7);
+    reader.wait(milliseconds(1500));
+    EXPECT_GE(reader.store().reads().size(), 2U);
+}
+
+// Guards against a late configuration after the loss of the bridges: their successors kept a long watch open.
+TEST(PlatformAgent, NodeThatBecomesABridgeReplacesItsLongWatch) {
+    tested_reader reader;
+    reader.set_peers(member_state::alive, 1);
+    reader.wait(milliseconds(3500));
+    ASSERT_EQ(reader.store().reads().size(), 1U);
+    reader.set_peers(member_state::dead, 1);
+    reader.wait(milliseconds(200));
+    EXPECT_EQ(reader.store().reads().size(), 2U);
+}
