A waiting request is not sent to a worker of another service

Cause: inbound_proxy compared a request's service with the worker's when the request arrived. When it left the queue, `run` asked only whether there was a worker that had not left. It then named the new worker in X-Target-Instance, so the worker's own check passed as well.

Ruled out: reuse of open connections (they were reset) and placement by the client's node (its records name the old service until then, and it sends the service in a header).

Fix: `find_refusal` answers for one request whether the worker, as it is known now, may run it. It compares with the service that the worker reports; the node's own record isn't updated any more once the node withdraws.

Other places where a request waits: the client's node picks worker and service anew for each attempt; a request that waits for a connection to the worker already names the worker it was meant for; claims wait before an attempt is made.

--- a/include/waxwingfall/call/worker_view.h
+++ b/include/waxwingfall/call/worker_view.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "waxwingfall/contract/worker_report.h"
+#include "waxwingfall/support/error.h"
 #include "waxwingfall/support/time.h"
 
 namespace waxwingfall {
@@ -64,6 +65,12 @@
 /// yet send it requests for up to `drain` after the leave was reported.
 bool may_admit(const worker_view& view, milliseconds drain, time_point now);
 
+/// Returns why a request for `service` can't be sent to the worker at `now`, or nothing if it can. An empty
+/// `service` stands for any. To be asked when a request arrives and again when it leaves a queue: its worker
+/// may have left meanwhile, and a worker of another service may have got its address.
+std::optional<error_kind> find_refusal(const worker_view& view, const std::string& service,
+                                       milliseconds drain, time_point now);
+
 } // namespace waxwingfall
 
 #endif
--- a/include/waxwingfall/node/inbound_proxy.h
+++ b/include/waxwingfall/node/inbound_proxy.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -68,7 +69,8 @@
     void request_health(std::function<void(const http_response&)> done) const;
     void publish_state(bool healthy, std::uint32_t slots, const std::string& reason);
     void publish_worker(const std::string& reason);
-    bool can_admit(error_kind& refusal, time_point now) const;
+    /// Why a request that has not been sent to the worker can't be, or nothing if it can.
+    std::optional<error_kind> refusal_of(const request& open, time_point now) const;
     std::string health_path() const;
     std::vector<http_header> with_load(std::vector<http_header> headers) const;
 
--- a/lib/call/worker_view.cpp
+++ b/lib/call/worker_view.cpp
@@ -126,4 +126,14 @@
     return !view.leaving || (view.latest_report && now < view.leaving_since + drain);
 }
 
+std::optional<error_kind> find_refusal(const worker_view& view, const std::string& service,
+                                       milliseconds drain, time_point now) {
+    if (!may_admit(view, drain, now)) {
+        return view.leaving ? error_kind::leaving : error_kind::worker_unreachable;
+    }
+    const std::string current = view.latest_report ? view.latest_report->service : std::string();
+    const bool is_for_other_service = !service.empty() && !current.empty() && service != current;
+    return is_for_other_service ? std::optional(error_kind::leaving) : std::nullopt;
+}
+
 } // namespace waxwingfall
--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -84,6 +84,7 @@
     new_request->client = std::make_unique<downstream>(raw);
     new_request->client->acknowledge();
     const auto fault = read_request(raw, new_request->received);
+    new_request->service = request_header(raw, call_header::service);
     new_request->deadline = read_deadline(new_request->received.request.headers, max_call_duration, now);
     new_request->started_at = now;
     const waiting_request waiting = read_urgency(raw, id, new_request->deadline, now);
@@ -103,11 +104,8 @@
         refuse(id, error_kind::crash_quarantined);
         return;
     }
-    error_kind refusal = error_kind::leaving;
-    const std::string service = request_header(raw, call_header::service);
-    const bool is_for_other_service = !service.empty() && service != node_.control.nodes.self.service;
-    if (is_for_other_service || !can_admit(refusal, now)) {
-        refuse(id, refusal);
+    if (const auto refusal = refusal_of(*requests_.at(id), now)) {
+        refuse(id, *refusal);
         return;
     }
     const bool uses_link_share = is_large_response(raw);
@@ -141,22 +139,22 @@
     }
 }
 
-bool inbound_proxy::can_admit(error_kind& refusal, time_point now) const {
-    if (!node_.settings.heartbeats) {
-        return true;
+std::optional<error_kind> inbound_proxy::refusal_of(const request& open, time_point now) const {
+    if (node_.settings.heartbeats) {
+        return find_refusal(node_.worker, open.service, node_.settings.drain, now);
     }
-    refusal = node_.worker.leaving ? error_kind::leaving : error_kind::worker_unreachable;
-    return may_admit(node_.worker, node_.settings.drain, now);
+    const bool is_for_other_service =
+        !open.service.empty() && open.service != node_.control.nodes.self.service;
+    return is_for_other_service ? std::optional(error_kind::leaving) : std::nullopt;
 }
 
 void inbound_proxy::run(std::uint64_t id) {
     request& started = *requests_.at(id);
     const time_point now = monotonic_now();
-    error_kind refusal = error_kind::leaving;
-    if (!can_admit(refusal, now)) {
+    if (const auto refusal = refusal_of(started, now)) {
         // Marked as running so that `remove` releases the slot that admission has counted.
         started.running = true;
-        refuse(id, refusal);
+        refuse(id, *refusal);
         return;
     }
     started.running = true;
@@ -372,11 +370,19 @@
     const time_point now = monotonic_now();
     std::vector<std::uint64_t> disconnected;
     std::vector<std::uint64_t> overdue;
+    std::vector<std::uint64_t> waits_in_vain;
     for (const auto& [id, open] : requests_) {
         if (open->client->is_disconnected()) {
             disconnected.push_back(id);
         } else if (open->running && now >= open->deadline) {
             overdue.push_back(id);
+        } else if (!open->running && refusal_of(*open, now)) {
+            waits_in_vain.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : waits_in_vain) {
+        if (const auto refusal = refusal_of(*requests_.at(id), now)) {
+            refuse(id, *refusal);
         }
     }
     for (const std::uint64_t id : disconnected) {
--- a/lib/node/inbound_request.h
+++ b/lib/node/inbound_request.h
@@ -14,6 +14,7 @@
 /// State of a request for the worker, from its arrival at this node to its end.
 struct inbound_proxy::request {
     received_request received;
+    std::string service; ///< whose worker the request is for; empty if its sender gave none
     std::unique_ptr<downstream> client;
     time_point deadline;
     time_point started_at;
--- a/unittests/call/worker_view_test.cpp
+++ b/unittests/call/worker_view_test.cpp
@@ -117,3 +117,28 @@
         RC_ASSERT((!has_left || !accepts_requests(view)));
     }
 }
+
+// Guards against requests that waited for a worker and were run by one of another service at its address.
+TEST(WorkerView, RequestForTheServiceOfAnEarlierWorkerIsRefused) {
+    worker_view view = fresh_view();
+    update_worker_view(view, report(100, 1), start);
+    EXPECT_EQ(find_refusal(view, "s", drain, start), std::nullopt);
+    EXPECT_EQ(find_refusal(view, "", drain, start), std::nullopt);
+    EXPECT_EQ(find_refusal(view, "t", drain, start), error_kind::leaving);
+    worker_report successor = report(200, 1);
+    successor.worker_id = "i-2";
+    successor.service = "t";
+    EXPECT_EQ(update_worker_view(view, successor, start), report_verdict::applied);
+    EXPECT_EQ(find_refusal(view, "s", drain, start), error_kind::leaving);
+    EXPECT_EQ(find_refusal(view, "t", drain, start), std::nullopt);
+}
+
+TEST(WorkerView, RequestIsRefusedOnceItsWorkerIsUnreachableOrHasLeft) {
+    worker_view view = fresh_view();
+    update_worker_view(view, report(100, 1), start);
+    mark_unreachable(view);
+    EXPECT_EQ(find_refusal(view, "s", drain, start), error_kind::worker_unreachable);
+    update_worker_view(view, report(100, 2, worker_state::draining), start);
+    EXPECT_EQ(find_refusal(view, "s", drain, start + drain / 2), std::nullopt);
+    EXPECT_EQ(find_refusal(view, "s", drain, start + drain), error_kind::leaving);
+}
--- a/unittests/node/inbound_proxy_test.cpp
+++ b/unittests/node/inbound_proxy_test.cpp
@@ -1,6 +1,7 @@
 #include "waxwingfall/node/inbound_proxy.h"
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <event2/bufferevent.h>
@@ -37,16 +38,36 @@
     tested_proxy()
         : settings_(make_settings()), log_("node", "/dev/null"), context_(loop_, settings_, log_, 1),
           proxy_(context_), clients_(loop_, milliseconds(1000)) {
+        report_worker("one", "s", 1, 4);
+    }
+
+    void report_worker(const std::string& id, const std::string& service, std::uint64_t incarnation,
+                       std::uint32_t slots) {
         worker_report report;
-        report.worker_id = "one";
+        report.worker_id = id;
         report.address = to_string(settings_.worker);
-        report.service = "s";
-        report.slots = 4;
+        report.service = service;
+        report.slots = slots;
         report.sequence = 1;
-        report.incarnation = 1;
+        report.incarnation = incarnation;
         proxy_.handle_worker_report(report);
     }
 
+    /// Sends a request for `service` through the proxy. `status` receives that of its response.
+    void send(const std::string& service, int& status) {
+        upstream_callbacks callbacks;
+        callbacks.on_headers = [&status](int received, const std::vector<http_header>&) {
+            status = received;
+        };
+        callbacks.on_data = [](evbuffer* data) { evbuffer_drain(data, evbuffer_get_length(data)); };
+        callbacks.on_end = [](upstream_end) {};
+        upstream_options options;
+        options.timeout = milliseconds(5000);
+        clients_.send(settings_.inbound,
+                      {EVHTTP_REQ_GET, "/", {{"Host", "h"}, {"X-Waxwingfall-Service", service}}, {}}, options,
+                      std::move(callbacks));
+    }
+
     /// Sends a request through the proxy and returns the status of its response.
     int status_of_request() {
         int status = 0;
@@ -91,6 +112,24 @@
     http_server server_;
 };
 
+/// A worker that responds to a request when it is told to.
+class slow_worker {
+public:
+    explicit slow_worker(const tested_proxy& proxy)
+        : server_(proxy.loop(), proxy.worker(),
+                  [this](evhttp_request* request) { open_.push_back(request); }) {}
+    void respond_to_all() {
+        for (evhttp_request* request : std::exchange(open_, {})) {
+            send_response(request, 200, "");
+        }
+    }
+    std::size_t open() const { return open_.size(); }
+
+private:
+    std::vector<evhttp_request*> open_;
+    http_server server_;
+};
+
 /// A worker that writes the given bytes for each request and closes the connection. Health checks get no
 /// response.
 class breaking_worker {
@@ -145,3 +184,41 @@
         EXPECT_EQ(proxy.status_of_request(), 502) << head;
     }
 }
+
+// Guards against requests that waited for a silent worker and were run by the worker of another service that
+// got its address.
+TEST(InboundProxy, WaitingRequestIsNotRunByAWorkerOfAnotherService) {
+    tested_proxy proxy;
+    slow_worker worker(proxy);
+    proxy.report_worker("two", "s", 2, 1);
+    int first = 0;
+    int second = 0;
+    proxy.send("s", first);
+    proxy.send("s", second);
+    proxy.wait(milliseconds(100));
+    ASSERT_EQ(worker.open(), 1U);
+    proxy.report_worker("three", "t", 3, 1);
+    proxy.wait(milliseconds(100));
+    EXPECT_EQ(second, 503);
+    worker.respond_to_all();
+    proxy.wait(milliseconds(100));
+    EXPECT_EQ(first, 200);
+    EXPECT_EQ(worker.open(), 0U);
+}
+
+TEST(InboundProxy, WaitingRequestIsRunByASuccessorOfItsService) {
+    tested_proxy proxy;
+    slow_worker worker(proxy);
+    proxy.report_worker("two", "s", 2, 1);
+    int first = 0;
+    int second = 0;
+    proxy.send("s", first);
+    proxy.send("s", second);
+    proxy.wait(milliseconds(100));
+    proxy.report_worker("three", "s", 3, 1);
+    worker.respond_to_all();
+    proxy.wait(milliseconds(100));
+    worker.respond_to_all();
+    proxy.wait(milliseconds(100));
+    EXPECT_EQ(second, 200);
+}
