A worker's acknowledged leave outlives the processes that heard it

Cause: the leave was kept in the memory of the node and of its peers alone. A new process takes the first heartbeat that it gets for the report of a worker that is there. With peers alive it asks them, but a second kill before the worker's next report lost the leave as well: the process between had not repeated it in its own record.

Ruled out: that the report itself tells: nothing in it says when it was sent. A health check on the first heartbeat isn't enough either: in the case, and with false health answers, it returns 200 for a worker that has left.

While the store doesn't respond, a heartbeat is trusted once none from before the start of the process can arrive any more (5 s). Several leaves may be known. The leave that peers tell is repeated in the local record at once. On the first start of all nodes (`--first-start`) there is nothing to read.

--- a/include/waxwingfall/call/worker_view.h
+++ b/include/waxwingfall/call/worker_view.h
@@ -2,6 +2,7 @@
 #define WAXWINGFALL_CALL_WORKER_VIEW_H
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -17,12 +18,15 @@
     std::string address;   ///< of the worker; reports from other addresses are rejected
     std::string worker_id; ///< empty until the worker has sent a report
     std::optional<worker_report> latest_report;
-    std::string left_worker_id;         ///< of the worker whose leave this node's previous process
-                                        ///< incarnation acknowledged
-    std::uint64_t left_incarnation = 0; ///< its incarnation; 0 if unknown
-    std::set<std::string> replaced_ids; ///< of workers that were replaced at this address
-    bool reachable = false;             ///< false after a refused connection, until the next report
-    bool leaving = false;               ///< it reported that it drains or leaves
+    /// Workers whose leave an earlier process of this node acknowledged, with their incarnation, 0 if
+    /// unknown.
+    std::map<std::string, std::uint64_t> left_workers;
+    bool leaves_known = true;      ///< false in a new process until it has learned of such leaves
+    time_point reports_trusted_at; ///< while they are unknown: a heartbeat that arrives later is not older
+    std::optional<worker_report> deferred_report; ///< the latest one that may be older than such a leave
+    std::set<std::string> replaced_ids;           ///< of workers that were replaced at this address
+    bool reachable = false;                       ///< false after a refused connection, until the next report
+    bool leaving = false;                         ///< it reported that it drains or leaves
     time_point leaving_since;
     time_point last_report_at;
     /// Requests a second that it accepts from all nodes together; unset if it states no limit.
@@ -34,14 +38,23 @@
 enum class report_verdict : std::uint8_t {
     applied,
     outdated, ///< sent before one that was applied, by the same worker or by one that it replaced
+    deferred, ///< may be older than a leave that is not known yet; applied once the leaves are known
     foreign   ///< from a worker at another address
 };
 
 /// Applies a report. Reports of an earlier incarnation and late ones of this incarnation change nothing.
 report_verdict update_worker_view(worker_view& view, const worker_report& report, time_point now);
 
-/// Restores a leave that this node's previous process incarnation acknowledged: the worker is not used again,
-/// however late its heartbeats arrive.
+/// Marks the leaves that earlier processes of this node acknowledged as unknown. Until they are known, or
+/// until no heartbeat from before the start of this process can arrive any more, workers are not used.
+void await_leaves(worker_view& view, time_point now);
+
+/// Marks the leaves of earlier processes as known, after `record_leave` for each of them. Applies the report
+/// that was deferred, and returns it if it took effect.
+std::optional<worker_report> apply_deferred_report(worker_view& view, time_point now);
+
+/// Restores a leave that an earlier process of this node acknowledged: the worker is not used again, however
+/// late its heartbeats arrive.
 void record_leave(worker_view& view, const std::string& worker_id, std::uint64_t incarnation);
 
 /// Records that the worker says in a response that it leaves. True if it had not said so before.
--- a/include/waxwingfall/node/inbound_proxy.h
+++ b/include/waxwingfall/node/inbound_proxy.h
@@ -17,6 +17,7 @@
 #include "waxwingfall/node/downstream.h"
 #include "waxwingfall/node/node_context.h"
 #include "waxwingfall/node/upstream.h"
+#include "waxwingfall/store/left_worker.h"
 
 namespace waxwingfall {
 
@@ -35,6 +36,10 @@
     /// Refuses all new requests from now on.
     void stop_admitting() { admission_.leaving = true; }
 
+    /// Learns of the leave that an earlier process of this node acknowledged, or that there is none. `source`
+    /// names in logs who told.
+    void restore_leave(const std::optional<left_worker>& left, const std::string& source);
+
     /// Processes a heartbeat or a leave report of the worker.
     report_verdict handle_worker_report(const worker_report& report);
 
@@ -69,6 +74,10 @@
     void request_health(std::function<void(const http_response&)> done) const;
     void publish_state(bool healthy, std::uint32_t slots, const std::string& reason);
     void publish_worker(const std::string& reason);
+    void log_report(const worker_report& report);
+    /// Excludes a worker that has left and repeats its leave in the local record, for later processes.
+    void exclude_worker(const left_worker& left, const std::string& source);
+    void learn_leave_from_peers();
     /// Why a request that has not been sent to the worker can't be, or nothing if it can.
     std::optional<error_kind> refusal_of(const request& open, time_point now) const;
     std::string health_path() const;
@@ -82,6 +91,7 @@
     std::map<std::uint64_t, std::unique_ptr<request>> requests_;
     std::uint64_t next_id_ = 1;
     bool healthy_ = true;
+    bool learned_from_peers_ = false; ///< of the previous process
     std::uint32_t failed_probes_ = 0;
     crash_detector crashes_;
     std::map<std::uint64_t, std::string>
--- a/include/waxwingfall/node/local_ports.h
+++ b/include/waxwingfall/node/local_ports.h
@@ -1,11 +1,13 @@
 #ifndef WAXWINGFALL_NODE_LOCAL_PORTS_H
 #define WAXWINGFALL_NODE_LOCAL_PORTS_H
 
+#include <functional>
 #include <memory>
 
 #include "waxwingfall/link/http.h"
 #include "waxwingfall/node/inbound_proxy.h"
 #include "waxwingfall/node/node_context.h"
+#include "waxwingfall/store/left_worker.h"
 
 namespace waxwingfall {
 
@@ -13,7 +15,10 @@
 /// balancer and the heartbeats of the local worker.
 class local_ports {
 public:
-    local_ports(node_context& node, inbound_proxy& inbound);
+    /// Makes a leave durable and then calls its second argument.
+    using leave_writer = std::function<void(const left_worker&, std::function<void()>)>;
+
+    local_ports(node_context& node, inbound_proxy& inbound, leave_writer write_leave);
 
 private:
     void handle_ready(evhttp_request* request) const;
@@ -21,6 +26,7 @@
 
     node_context& node_;
     inbound_proxy& inbound_proxy_;
+    leave_writer write_leave_;
     std::unique_ptr<http_server> ready_;
     std::unique_ptr<http_server> heartbeats_;
 };
--- a/include/waxwingfall/node/node.h
+++ b/include/waxwingfall/node/node.h
@@ -8,6 +8,7 @@
 #include "waxwingfall/node/admin.h"
 #include "waxwingfall/node/call_proxy.h"
 #include "waxwingfall/node/inbound_proxy.h"
+#include "waxwingfall/node/leave_records.h"
 #include "waxwingfall/node/local_ports.h"
 #include "waxwingfall/node/node_context.h"
 #include "waxwingfall/node/platform_agent.h"
@@ -48,6 +49,7 @@
     call_proxy call_proxy_;
     inbound_proxy inbound_proxy_;
     platform_agent platform_;
+    leave_records leaves_;
     admin_server admin_;
     local_ports local_ports_;
     time_point last_tick_;
--- a/include/waxwingfall/node/settings.h
+++ b/include/waxwingfall/node/settings.h
@@ -44,6 +44,7 @@
     std::vector<std::string> peers; ///< control addresses for the first join attempts
     std::vector<address_translation> translations;
     std::string log_path;
+    bool is_first_start = false; ///< of all nodes, so that no earlier process acknowledged anything
     std::uint32_t max_body_bytes = 1'048'576;
     std::uint32_t max_header_bytes = 16'384;
     double link_mbps = 0;                ///< link rate of the machine in Mbit/s; 0 if unknown
--- a/lib/call/worker_view.cpp
+++ b/lib/call/worker_view.cpp
@@ -9,6 +9,9 @@
 /// Lower bound of the time between two heartbeats on every deployment.
 constexpr milliseconds min_heartbeat_interval{500};
 
+/// Longest delay of a heartbeat between its worker and its node.
+constexpr milliseconds max_report_delay{5000};
+
 /// True if a worker that started after the last leave of its id could have sent as many heartbeats by now. A
 /// leave need not name the incarnation that it ends.
 bool can_have_started_since(const worker_view& view, const worker_report& report, time_point now) {
@@ -17,9 +20,8 @@
 }
 
 bool is_outdated(const worker_view& view, const worker_report& report, time_point now) {
-    const bool has_left = report.worker_id == view.left_worker_id &&
-                          (view.left_incarnation == 0 || report.incarnation <= view.left_incarnation);
-    if (has_left) {
+    const auto left = view.left_workers.find(report.worker_id);
+    if (left != view.left_workers.end() && (left->second == 0 || report.incarnation <= left->second)) {
         return true;
     }
     if (!view.latest_report) {
@@ -61,6 +63,16 @@
         return report_verdict::outdated;
     }
     const bool leaves = report.state != worker_state::ready;
+    if (!leaves && !view.leaves_known && now < view.reports_trusted_at) {
+        const auto age = [](const worker_report& of) { return std::pair(of.incarnation, of.sequence); };
+        if (!view.deferred_report || age(*view.deferred_report) < age(report)) {
+            view.deferred_report = report;
+        }
+        return report_verdict::deferred;
+    }
+    if (view.deferred_report && view.deferred_report->worker_id == report.worker_id) {
+        view.deferred_report.reset();
+    }
     if (!is_same_worker(view, report)) {
         if (!view.worker_id.empty() && view.worker_id != report.worker_id) {
             view.replaced_ids.insert(view.worker_id);
@@ -85,9 +97,20 @@
     return report_verdict::applied;
 }
 
+void await_leaves(worker_view& view, time_point now) {
+    view.leaves_known = false;
+    view.reports_trusted_at = now + max_report_delay;
+}
+
+std::optional<worker_report> apply_deferred_report(worker_view& view, time_point now) {
+    view.leaves_known = true;
+    const auto deferred = std::exchange(view.deferred_report, std::nullopt);
+    const bool is_applied = deferred && update_worker_view(view, *deferred, now) == report_verdict::applied;
+    return is_applied ? deferred : std::nullopt;
+}
+
 void record_leave(worker_view& view, const std::string& worker_id, std::uint64_t incarnation) {
-    view.left_worker_id = worker_id;
-    view.left_incarnation = incarnation;
+    view.left_workers[worker_id] = incarnation;
     const bool is_current = view.latest_report && view.latest_report->worker_id == worker_id &&
                             (incarnation == 0 || view.latest_report->incarnation <= incarnation);
     view.leaving = view.leaving || is_current;
--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -368,6 +368,7 @@
 
 void inbound_proxy::sweep() {
     const time_point now = monotonic_now();
+    learn_leave_from_peers();
     std::vector<std::uint64_t> disconnected;
     std::vector<std::uint64_t> overdue;
     std::vector<std::uint64_t> waits_in_vain;
--- a/lib/node/local_ports.cpp
+++ b/lib/node/local_ports.cpp
@@ -12,7 +12,8 @@
 
 } // namespace
 
-local_ports::local_ports(node_context& node, inbound_proxy& inbound) : node_(node), inbound_proxy_(inbound) {
+local_ports::local_ports(node_context& node, inbound_proxy& inbound, leave_writer write_leave)
+    : node_(node), inbound_proxy_(inbound), write_leave_(std::move(write_leave)) {
     if (node.settings.ready) {
         ready_ = std::make_unique<http_server>(node.loop, *node.settings.ready,
                                                [this](evhttp_request* request) { handle_ready(request); });
@@ -41,11 +42,19 @@
         return;
     }
     const report_verdict verdict = inbound_proxy_.handle_worker_report(*report);
-    if (verdict != report_verdict::applied) {
+    if (verdict == report_verdict::outdated || verdict == report_verdict::foreign) {
         log_ignored(report->worker_id, verdict == report_verdict::foreign ? "other address" : "outdated");
     }
-    send_response(request, status_ok, platform::encode_acknowledgement(),
-                  {{"Content-Type", "application/json"}});
+    const auto acknowledge = [request] {
+        send_response(request, status_ok, platform::encode_acknowledgement(),
+                      {{"Content-Type", "application/json"}});
+    };
+    if (verdict != report_verdict::applied || report->state == worker_state::ready) {
+        acknowledge();
+        return;
+    }
+    // The acknowledgement binds all later processes of this node.
+    write_leave_({node_.worker.worker_id, node_.worker.latest_report->incarnation}, acknowledge);
 }
 
 } // namespace waxwingfall
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -48,11 +48,16 @@
     : settings_(settings), context_(loop, settings, log, seed), on_stopped_(std::move(on_stopped)),
       call_proxy_(context_), inbound_proxy_(context_),
       platform_(context_, [this](control_plane_effects effects) { apply(std::move(effects), "platform"); }),
+      leaves_(
+          context_,
+          [this](const std::optional<left_worker>& left) { inbound_proxy_.restore_leave(left, "store"); }),
       admin_(context_,
              {[this] { return call_proxy_.open_calls(); }, [this] { return inbound_proxy_.open_requests(); },
               [this] { return platform_.is_reachable(); },
               [this] { return inbound_proxy_.worker_is_healthy(); }}),
-      local_ports_(context_, inbound_proxy_) {
+      local_ports_(context_, inbound_proxy_, [this](const left_worker& left, std::function<void()> done) {
+          leaves_.write(left, std::move(done));
+      }) {
     const ip_address& control = settings.control;
     context_.link = std::make_unique<message_link>(loop, control.host + ":" + std::to_string(control.port),
                                                    settings.translations,
@@ -199,6 +204,7 @@
     send_all(context_, std::move(claims.messages));
     call_proxy_.handle_claims(claims);
     platform_.tick(now);
+    leaves_.tick(now);
     if (now >= next_housekeeping_) {
         next_housekeeping_ = now + housekeeping_period;
         context_.link->close_idle(now, idle_peer_timeout);
@@ -233,6 +239,7 @@
             const reload_plan plan = plan_reload(settings_, updated);
             settings_ = plan.merged;
             platform_.update_platform_address();
+            leaves_.update_platform_address();
             context_.log.write(
                 event_id::settings_reloaded, wall_now(),
                 {{"changed", join_names(plan.applied)}, {"at_next_start", join_names(plan.needs_restart)}});
--- a/lib/node/node_context.cpp
+++ b/lib/node/node_context.cpp
@@ -37,6 +37,9 @@
                                   monotonic_now())) {
     records.process_incarnation = random() | 1U;
     worker.address = to_string(node_settings.worker);
+    if (settings.heartbeats && !settings.is_first_start) {
+        await_leaves(worker, monotonic_now());
+    }
     routing.policy = settings.routing;
     routing.self = control.nodes.self.id;
     routing.data_centre = settings.data_centre;
--- a/lib/node/worker_health.cpp
+++ b/lib/node/worker_health.cpp
@@ -76,24 +76,60 @@
         find_service(*node_.active_contract, report.service) == nullptr) {
         return report_verdict::foreign;
     }
-    if (const auto& previous = node_.control.nodes.previous_self;
-        previous && !previous->left_worker.empty()) {
-        record_leave(node_.worker, previous->left_worker, previous->left_worker_start);
-    }
+    learn_leave_from_peers();
     const report_verdict verdict = waxwingfall::update_worker_view(node_.worker, report, monotonic_now());
     if (verdict == report_verdict::applied &&
         (previous_sequence == 0 || accepted_before != accepts_requests(node_.worker))) {
-        node_.log.write(event_id::worker_reported, wall_now(),
-                        {{"worker", report.worker_id},
-                         {"incarnation", std::to_string(report.incarnation)},
-                         {"sequence", std::to_string(report.sequence)},
-                         {"state", accepts_requests(node_.worker) ? "ready" : "leaving"},
-                         {"slots", std::to_string(report.slots)}});
+        log_report(report);
     }
     publish_worker("reported");
     return verdict;
 }
 
+void inbound_proxy::log_report(const worker_report& report) {
+    node_.log.write(event_id::worker_reported, wall_now(),
+                    {{"worker", report.worker_id},
+                     {"incarnation", std::to_string(report.incarnation)},
+                     {"sequence", std::to_string(report.sequence)},
+                     {"state", accepts_requests(node_.worker) ? "ready" : "leaving"},
+                     {"slots", std::to_string(report.slots)}});
+}
+
+void inbound_proxy::restore_leave(const std::optional<left_worker>& left, const std::string& source) {
+    if (left) {
+        exclude_worker(*left, source);
+    }
+    if (const auto applied = apply_deferred_report(node_.worker, monotonic_now())) {
+        log_report(*applied);
+        publish_worker("reported");
+    }
+}
+
+void inbound_proxy::learn_leave_from_peers() {
+    const auto& previous = node_.control.nodes.previous_self;
+    if (learned_from_peers_ || !previous) {
+        return;
+    }
+    learned_from_peers_ = true;
+    if (!previous->left_worker.empty()) {
+        exclude_worker({previous->left_worker, previous->left_worker_start}, "peers");
+    }
+}
+
+void inbound_proxy::exclude_worker(const left_worker& left, const std::string& source) {
+    record_leave(node_.worker, left.worker_id, left.incarnation);
+    node_.log.write(
+        event_id::worker_leave_restored, wall_now(),
+        {{"worker", left.worker_id}, {"incarnation", std::to_string(left.incarnation)}, {"source", source}});
+    membership& nodes = node_.control.nodes;
+    if (!nodes.self.left_worker.empty() || nodes.self.state != member_state::alive) {
+        return;
+    }
+    nodes.self.left_worker = left.worker_id;
+    nodes.self.left_worker_start = left.incarnation;
+    send_all(node_, set_local_state(nodes, member_state::alive, monotonic_now()).messages);
+}
+
 void inbound_proxy::publish_worker(const std::string& reason) {
     const bool has_withdrawn = node_.control.nodes.self.state == member_state::leaving;
     const bool accepts_work = accepts_requests(node_.worker) && !has_withdrawn;
--- a/tools/waxwingfall/main.cpp
+++ b/tools/waxwingfall/main.cpp
@@ -15,12 +15,13 @@
 constexpr const char* usage_text = R"(Runs the waxwingfall node of one backend server.
 
 Usage:
-  waxwingfall [--check] SETTINGS
+  waxwingfall [--check] [--first-start=BOOL] SETTINGS
   waxwingfall --help
 
 Options:
-  --check  Check the settings file and stop.
-  --help   Show this text.
+  --check             Check the settings file and stop.
+  --first-start=BOOL  "true" if all nodes of the environment start for the first time [default: false].
+  --help              Show this text.
 )";
 
 using namespace waxwingfall;
@@ -58,7 +59,7 @@
     return 0;
 }
 
-int load_and_run(const std::string& path, bool check_only) {
+int load_and_run(const std::string& path, bool check_only, bool is_first_start) {
     const auto text = read_bounded_file(path);
     if (!text) {
         std::cerr << path << ": " << error_info_of(error_kind::file_unreadable).name
@@ -68,6 +69,7 @@
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<int> {
             BOOST_LEAF_AUTO(settings, parse_settings(*text, path));
+            settings.is_first_start = is_first_start;
             return check_only ? 0 : run_node(settings, path);
         },
         [](const fault_list& list) {
@@ -84,7 +86,8 @@
 int main(int argc, char** argv) {
     try {
         const auto arguments = docopt::docopt_parse(usage_text, {argv + 1, argv + argc}, true, false);
-        return load_and_run(arguments.at("SETTINGS").asString(), arguments.at("--check").asBool());
+        return load_and_run(arguments.at("SETTINGS").asString(), arguments.at("--check").asBool(),
+                            arguments.at("--first-start").asString() == "true");
     } catch (const docopt::DocoptExitHelp&) {
         std::cout << usage_text;
         return 0;
--- a/unittests/call/worker_view_test.cpp
+++ b/unittests/call/worker_view_test.cpp
@@ -142,3 +142,84 @@
     EXPECT_EQ(find_refusal(view, "s", drain, start + drain / 2), std::nullopt);
     EXPECT_EQ(find_refusal(view, "s", drain, start + drain), error_kind::leaving);
 }
+
+// Guards against a worker that had left and was used again: all nodes were restarted and a heartbeat from
+// before its leave arrived late.
+TEST(WorkerView, NewProcessDoesNotUseAWorkerBeforeItKnowsTheLeavesOfEarlierOnes) {
+    worker_view view = fresh_view();
+    await_leaves(view, start);
+    EXPECT_EQ(update_worker_view(view, report(100, 9), start), report_verdict::deferred);
+    EXPECT_EQ(update_worker_view(view, report(100, 8), start), report_verdict::deferred);
+    EXPECT_FALSE(accepts_requests(view));
+    record_leave(view, "i-1", 100);
+    EXPECT_FALSE(apply_deferred_report(view, start));
+    EXPECT_FALSE(accepts_requests(view));
+    EXPECT_EQ(update_worker_view(view, report(100, 10), start), report_verdict::outdated);
+    EXPECT_EQ(update_worker_view(view, report(200, 1), start), report_verdict::applied);
+}
+
+TEST(WorkerView, DeferredReportIsAppliedOnceNoLeaveIsKnown) {
+    worker_view view = fresh_view();
+    await_leaves(view, start);
+    update_worker_view(view, report(100, 9), start);
+    update_worker_view(view, report(100, 8), start);
+    const auto applied = apply_deferred_report(view, start);
+    ASSERT_TRUE(applied);
+    EXPECT_EQ(applied->sequence, 9U);
+    EXPECT_TRUE(accepts_requests(view));
+}
+
+TEST(WorkerView, LeaveThatArrivesAfterADeferredReportEndsIt) {
+    for (const worker_report& last : {leave(), leave(100), report(100, 10, worker_state::draining)}) {
+        worker_view view = fresh_view();
+        await_leaves(view, start);
+        update_worker_view(view, report(100, 9), start);
+        EXPECT_EQ(update_worker_view(view, last, start), report_verdict::applied);
+        EXPECT_FALSE(apply_deferred_report(view, start));
+        EXPECT_FALSE(accepts_requests(view));
+    }
+}
+
+TEST(WorkerView, ReportsAreTrustedWithoutTheStoreOnceLateOnesHaveArrived) {
+    worker_view view = fresh_view();
+    await_leaves(view, start);
+    EXPECT_EQ(update_worker_view(view, report(100, 9), start + milliseconds(4900)), report_verdict::deferred);
+    EXPECT_EQ(update_worker_view(view, report(100, 10), start + milliseconds(5000)), report_verdict::applied);
+    EXPECT_TRUE(accepts_requests(view));
+}
+
+// Whatever is late, lost or restarted: once a leave was recorded, no report of that incarnation revives it.
+RC_GTEST_PROP(WorkerView, RestartsBesideLateReportsNeverReviveAWorkerThatHasLeft, ()) {
+    constexpr std::uint64_t incarnation = 100;
+    worker_view view = fresh_view();
+    time_point now = start;
+    bool has_left = false;
+    const int steps = *rc::gen::inRange(1, 40);
+    for (int step = 0; step < steps; ++step) {
+        now += milliseconds(*rc::gen::inRange(0, 900));
+        switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+            view = fresh_view();
+            await_leaves(view, now);
+            break;
+        case 1:
+            if (has_left) {
+                record_leave(view, "i-1", incarnation);
+            }
+            apply_deferred_report(view, now);
+            break;
+        case 2:
+            if (update_worker_view(view, leave(incarnation), now) == report_verdict::applied) {
+                has_left = true;
+            }
+            break;
+        default:
+            // Reports are late by up to 2 s, so none arrives long after a restart that followed a leave.
+            if (!has_left || view.leaves_known || now < view.reports_trusted_at) {
+                update_worker_view(view, report(incarnation, *rc::gen::inRange<std::uint64_t>(1, 20)), now);
+            }
+        }
+        const bool is_certain = view.leaves_known || now < view.reports_trusted_at;
+        RC_ASSERT((!has_left || !is_certain || !accepts_requests(view)));
+    }
+}
--- a/unittests/node/inbound_proxy_test.cpp
+++ b/unittests/node/inbound_proxy_test.cpp
@@ -29,6 +29,7 @@
     settings.worker = test::unused_address();
     settings.heartbeats = test::unused_address();
     settings.drain = milliseconds(200);
+    settings.is_first_start = true;
     return settings;
 }
 
@@ -83,6 +84,7 @@
         return status;
     }
 
+    membership& nodes() { return context_.control.nodes; }
     void wait(milliseconds time) { loop_.run_for(time); }
     const event_loop& loop() const { return loop_; }
     const ip_address& worker() const { return settings_.worker; }
@@ -222,3 +224,16 @@
     proxy.wait(milliseconds(100));
     EXPECT_EQ(second, 200);
 }
+
+// Guards against a leave that the peers of a node forget when it is killed twice in a row.
+TEST(InboundProxy, LeaveThatPeersTellIsRepeatedInTheLocalRecord) {
+    tested_proxy proxy;
+    member previous = proxy.nodes().self;
+    previous.incarnation -= 1;
+    previous.left_worker = "zero";
+    previous.left_worker_start = 7;
+    proxy.nodes().previous_self = previous;
+    proxy.wait(milliseconds(100));
+    EXPECT_EQ(proxy.nodes().self.left_worker, "zero");
+    EXPECT_EQ(proxy.nodes().self.left_worker_start, 7U);
+}
--- a/utils/mesh.py
+++ b/utils/mesh.py
@@ -110,6 +110,7 @@
         self.run_log.touch()
         self.event_log = mesh.folder / f"{name}.log"
         self.peers = []
+        self.heartbeats = None  # address for reports of the worker; without it the worker is probed
         self.translate = []
         self.policy = {}
         self.limits = {}
@@ -130,6 +131,8 @@
             "worker:", f"  service: {self.service}", f"  address: {self.worker_address}", f"  slots: {self.slots}",
             f"platform: {self.mesh.platform_for(self)}", f"log: {self.event_log}",
         ]
+        if self.heartbeats:
+            lines.insert(lines.index("worker:"), f"  heartbeats: {self.heartbeats}")
         if self.peers:
             lines.append("peers: [" + ", ".join(self.peers) + "]")
         if self.translate:
@@ -159,6 +162,13 @@
         if with_worker and self.worker:
             self.worker.kill()
 
+    def report(self, worker, call="heartbeat", born=1000, state="ready", sequence=1):
+        """Sends a report of the worker to the node. Returns True if it was acknowledged."""
+        body = {"service": self.service, "addr": self.worker_address, "zone": self.data_centre, "version": "v1",
+                "slots": self.slots, "state": state, "cold_left": "0ms", "sequence": sequence, "born": born}
+        content = json.dumps(body if call == "heartbeat" else {"born": born}).encode()
+        return http(self.heartbeats, f"/instances/{worker}/{call}", "POST", content)[0] == 200
+
     def status(self):
         return json.loads(http(self.admin, "/status")[2])
 
