A store that responds late is still heard

Callers would see: on machines where the store waits for a processor, each read of the configuration is given up after 0.75 s, and no node ever learns of a change.

A read whose response is overdue now counts as failed, so that the next one starts, but stays open for 3 s: its response is used whenever it comes.

Test: PlatformAgent.ResponseThatComesLateIsStillUsed.

--- a/include/waxwingfall/cluster/poll_schedule.h
+++ b/include/waxwingfall/cluster/poll_schedule.h
@@ -51,16 +51,18 @@
 /// A read or watch that waits for its response.
 struct open_read {
     time_point started;
+    bool is_watch = false;
     bool is_receiving = false; ///< the response has begun
     auto operator<=>(const open_read&) const = default;
 };
 
-/// True if the response to a read is overdue, so that the read should be replaced by a new one: the node has
-/// become a bridge while its long watch was open, or peers have sent a newer version and the store has not.
+/// True if the response to a read is overdue, so that another read should be started beside it: the store
+/// should have responded, the node has become a bridge while its long watch was open, or peers have sent a
+/// newer version and the store has not. A late response is still of use.
 bool is_overdue(const open_read& read, const poll_inputs& inputs, time_point now);
 
-/// Returns the pause after the last of `failures` reads in a row that got no response or a refusal. There is
-/// none after the first one: its connection may have broken while the store is well and has newer versions.
+/// Returns the pause after the last of `failures` reads in a row that got no response in time or a refusal. There
+/// is none after the first one: its connection may have broken while the store is well and has newer versions.
 milliseconds pause_after_failures(std::uint32_t failures, bool reads_for_others, random_source& random);
 
 /// Returns the mean time between the end of a poll and the next one.
--- a/include/waxwingfall/node/platform_agent.h
+++ b/include/waxwingfall/node/platform_agent.h
@@ -2,6 +2,7 @@
 #define WAXWINGFALL_NODE_PLATFORM_AGENT_H
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -46,7 +47,10 @@
         milliseconds interval{0}; ///< from the end of a watch to the start of the next one
         bool reads_for_others = true;
         exchange_handle call; ///< the last read or watch
-        time_point started;   ///< of that call
+        std::uint64_t call_number = 0;
+        open_read open;       ///< that call, while it is pending
+        /// Earlier ones whose responses were overdue and may still come, the oldest first.
+        std::deque<exchange_handle> late;
         bool pending = false;
         std::uint64_t revision = 0;     ///< store revision from which the next watch resumes
         std::uint64_t key_revision = 0; ///< revision of the last known change of the key
@@ -59,8 +63,10 @@
     void watch(watch_state& state, const std::string& key, time_point now,
                void (platform_agent::*handler)(const store_response&));
     void poll_configuration(bool reads_for_others, time_point now);
-    /// Gives up the open read if its response is overdue.
-    void replace_overdue_read(const poll_inputs& inputs, time_point now);
+    /// Counts an open read whose response is overdue as failed, so that the next one starts.
+    void check_overdue(watch_state& state, const std::string& key, const poll_inputs& inputs, time_point now);
+    void finish_read(watch_state& state, const std::string& key, const store_response& response,
+                     void (platform_agent::*handler)(const store_response&));
     /// Logs the last call, a read of `key`, and the pause until the next one if it failed.
     void log_read(const std::string& key, store_status status, milliseconds pause);
     void handle_head(const store_response& response);
--- a/lib/cluster/poll_schedule.cpp
+++ b/lib/cluster/poll_schedule.cpp
@@ -62,10 +62,12 @@
     if (read.is_receiving) {
         return false;
     }
-    if (inputs.reads_for_others) {
-        return now - read.started > bridge_watch_wait + response_timeout;
+    const read_limits limits = limits_of_reads(inputs.reads_for_others);
+    const milliseconds wait = read.is_watch ? limits.watch_wait : milliseconds(0);
+    if (now - read.started > wait + limits.response_timeout) {
+        return true;
     }
-    return inputs.peers_have_newer && read.started < inputs.last_update &&
+    return !inputs.reads_for_others && inputs.peers_have_newer && read.started < inputs.last_update &&
            now - inputs.last_update > notification_timeout;
 }
 
--- a/lib/node/platform_agent.cpp
+++ b/lib/node/platform_agent.cpp
@@ -23,6 +23,13 @@
 constexpr milliseconds min_report_interval{400};
 constexpr milliseconds report_refresh_period{10'000};
 
+/// Until a read whose response is overdue is given up: a store that is short of processor time may take
+/// longer to respond than nodes may wait, and would never be heard.
+constexpr milliseconds late_response_timeout{3000};
+
+/// As many as can be open at once within that time, and long watches.
+constexpr std::size_t max_late_calls = 5;
+
 /// How long the second bridge waits for the first one to distribute new content before it reads the content
 /// from the platform itself.
 constexpr milliseconds second_bridge_fetch_delay{150};
@@ -140,7 +147,7 @@
         learned_at_ = now;
     }
     const poll_inputs inputs{reads_for_others, head_.next_attempt, learned_at_, held > polled_version_};
-    replace_overdue_read(inputs, now);
+    check_overdue(head_, platform::configuration_key, inputs, now);
     const poll_schedule plan = schedule_poll(inputs);
     if (head_.pending || now < plan.at) {
         return;
@@ -153,55 +160,73 @@
     watch(head_, platform::configuration_key, now, &platform_agent::handle_configuration);
 }
 
-void platform_agent::replace_overdue_read(const poll_inputs& inputs, time_point now) {
-    if (!head_.pending || !is_overdue({head_.started, head_.call.is_receiving()}, inputs, now)) {
+void platform_agent::check_overdue(watch_state& state, const std::string& key, const poll_inputs& inputs,
+                                   time_point now) {
+    state.open.is_receiving = state.call.is_receiving();
+    if (!state.pending || !is_overdue(state.open, inputs, now)) {
         return;
     }
-    head_.call.cancel();
-    head_.pending = false;
-    head_.revision = 0;
-    node_.log.write(
-        event_id::platform_read_overdue, wall_now(),
-        {{"key", platform::configuration_key}, {"after_ms", std::to_string(elapsed_ms(head_.started, now))}});
+    state.late.push_back(state.call);
+    if (state.late.size() > max_late_calls) {
+        state.late.front().cancel();
+        state.late.pop_front();
+    }
+    state.pending = false;
+    state.failures += 1;
+    // Several versions may have been accepted meanwhile. A watch would return each of them in full.
+    state.revision = 0;
+    state.next_attempt = now + pause_after_failures(state.failures, inputs.reads_for_others, node_.random);
+    node_.log.write(event_id::platform_read_overdue, wall_now(),
+                    {{"key", key}, {"after_ms", std::to_string(elapsed_ms(state.open.started, now))}});
 }
 
 void platform_agent::watch(watch_state& state, const std::string& key, time_point now,
                            void (platform_agent::*handler)(const store_response&)) {
+    check_overdue(state, key, {state.reads_for_others, {}, {}, false}, now);
     if (state.pending || now < state.next_attempt) {
         return;
     }
     state.pending = true;
-    const auto done = [this, &state, key, handler](const store_response& response) {
-        state.pending = false;
+    state.open = {now, state.revision != 0, false};
+    const std::uint64_t number = ++state.call_number;
+    const auto done = [this, &state, key, handler, number](const store_response& response) {
         update_reachability(response.status);
-        if (!is_reachable_status(response.status)) {
-            state.failures += 1;
-            // Several versions may have been accepted meanwhile. A watch would return each of them in full.
-            state.revision = 0;
-            const milliseconds pause =
-                pause_after_failures(state.failures, state.reads_for_others, node_.random);
-            state.next_attempt = monotonic_now() + pause;
-            log_read(key, response.status, pause);
-            return;
-        }
-        if (response.status != store_status::unchanged) {
+        if (state.pending && number == state.call_number) {
+            finish_read(state, key, response, handler);
+        } else if (response.status == store_status::ok) {
             log_read(key, response.status, milliseconds(0));
-        }
-        state.failures = 0;
-        state.revision = response.store_revision;
-        state.next_attempt = monotonic_now() + jittered(state.interval, node_.random);
-        if (response.status == store_status::ok || response.status == store_status::absent) {
-            state.key_revision = response.value.revision;
             (this->*handler)(response);
-            // Watch again at once. A version that is accepted before the next tick would be missed if the
-            // store failed right after it.
-            watch(state, key, monotonic_now(), handler);
         }
     };
     const read_limits limits = limits_of_reads(state.reads_for_others);
-    state.started = now;
-    state.call =
-        watch_value(client_, key, state.revision, {limits.watch_wait, limits.response_timeout}, done);
+    state.call = watch_value(client_, key, state.revision, {limits.watch_wait, late_response_timeout}, done);
+}
+
+void platform_agent::finish_read(watch_state& state, const std::string& key, const store_response& response,
+                                 void (platform_agent::*handler)(const store_response&)) {
+    state.pending = false;
+    if (!is_reachable_status(response.status)) {
+        state.failures += 1;
+        // Several versions may have been accepted meanwhile. A watch would return each of them in full.
+        state.revision = 0;
+        const milliseconds pause = pause_after_failures(state.failures, state.reads_for_others, node_.random);
+        state.next_attempt = monotonic_now() + pause;
+        log_read(key, response.status, pause);
+        return;
+    }
+    if (response.status != store_status::unchanged) {
+        log_read(key, response.status, milliseconds(0));
+    }
+    state.failures = 0;
+    state.revision = response.store_revision;
+    state.next_attempt = monotonic_now() + jittered(state.interval, node_.random);
+    if (response.status == store_status::ok || response.status == store_status::absent) {
+        state.key_revision = response.value.revision;
+        (this->*handler)(response);
+        // Watch again at once. A version that is accepted before the next tick would be missed if the
+        // store failed right after it.
+        watch(state, key, monotonic_now(), handler);
+    }
 }
 
 void platform_agent::log_read(const std::string& key, store_status status, milliseconds pause) {
--- a/unittests/cluster/poll_schedule_test.cpp
+++ b/unittests/cluster/poll_schedule_test.cpp
@@ -192,12 +192,12 @@
 }
 
 TEST(PollSchedule, ReadIsOverdueOnceAVersionOfAPeerShouldHaveBeenNotified) {
-    const open_read read{start, false};
+    const open_read read{start, true, false};
     const poll_inputs follower{false, start, start + milliseconds(500), true};
     EXPECT_FALSE(is_overdue(read, follower, start + milliseconds(1400)));
     EXPECT_TRUE(is_overdue(read, follower, start + milliseconds(1600)));
-    EXPECT_FALSE(is_overdue({start, true}, follower, start + milliseconds(1600)));
-    const open_read later{start + milliseconds(600), false};
+    EXPECT_FALSE(is_overdue({start, true, true}, follower, start + milliseconds(1600)));
+    const open_read later{start + milliseconds(600), true, false};
     EXPECT_FALSE(is_overdue(later, follower, start + milliseconds(1600)));
     const poll_inputs up_to_date{false, start, start + milliseconds(500), false};
     EXPECT_FALSE(is_overdue(read, up_to_date, start + milliseconds(29'000)));
@@ -205,6 +205,15 @@
 
 TEST(PollSchedule, LongWatchOfANodeThatHasBecomeABridgeIsOverdue) {
     const poll_inputs bridge{true, start, start, false};
-    EXPECT_FALSE(is_overdue({start, false}, bridge, start + milliseconds(2000)));
-    EXPECT_TRUE(is_overdue({start, false}, bridge, start + milliseconds(2100)));
+    EXPECT_FALSE(is_overdue({start, true, false}, bridge, start + milliseconds(2000)));
+    EXPECT_TRUE(is_overdue({start, true, false}, bridge, start + milliseconds(2100)));
+}
+
+TEST(PollSchedule, ReadWithoutAResponseIsOverdueSoonerThanAWatch) {
+    for (const bool reads_for_others : {false, true}) {
+        const poll_inputs inputs{reads_for_others, start, start, false};
+        EXPECT_FALSE(is_overdue({start, false, false}, inputs, start + milliseconds(750)));
+        EXPECT_TRUE(is_overdue({start, false, false}, inputs, start + milliseconds(800)));
+        EXPECT_FALSE(is_overdue({start, false, true}, inputs, start + milliseconds(800)));
+    }
 }
--- a/unittests/node/platform_agent_test.cpp
+++ b/unittests/node/platform_agent_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include "loopback.h"
+#include "platform/json_fields.h"
 #include "waxwingfall/link/http.h"
 
 using namespace waxwingfall;
@@ -101,6 +102,29 @@
     http_server server_;
 };
 
+constexpr const char* configuration =
+    R"({"version":"r7","routes":{"columns":["name","host","prefix","kind","timeout","goal","priority","service",)"
+    R"("attempts","split"],"rows":[["r-1","b.example","/p/","idempotent","1500ms","0.8s",1,"one",2,null]]},)"
+    R"("services":{"columns":["name","health","max_conns","protocol","tls"],"rows":[["one","/ok",110,"h1",false]]},)"
+    R"("limits":{"header_bytes":16384,"body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}})";
+
+/// A store that responds to each call after two seconds, as if short of processor time.
+class late_store {
+public:
+    late_store(const event_loop& loop, const ip_address& address)
+        : server_(loop, address, [this, &loop](evhttp_request* request) {
+              const std::string item = R"({"key":"op/config","rev":4,"created":4,"lease":0,"value":")" +
+                                       platform::encode_base64(configuration) + R"("})";
+              timers_.push_back(loop_event::after(loop, milliseconds(2000), [request, item] {
+                  send_response(request, 200, R"({"items":[)" + item + R"(],"has_more":false,"as_of":5})");
+              }));
+          }) {}
+
+private:
+    std::vector<loop_event> timers_;
+    http_server server_;
+};
+
 /// An agent that reads the operator's key from a store that never responds to watches.
 class tested_reader {
 public:
@@ -236,3 +260,20 @@
     reader.wait(milliseconds(200));
     EXPECT_EQ(reader.store().reads().size(), 2U);
 }
+
+// Guards against a store under load that is never heard: each read is given up before its response comes.
+TEST(PlatformAgent, ResponseThatComesLateIsStillUsed) {
+    event_loop loop;
+    const ip_address address = test::unused_address();
+    const late_store store(loop, address);
+    node_settings settings = bridge_settings(address);
+    settings.source = configuration_source::operator_key;
+    event_log log("reader", "/dev/null");
+    node_context context(loop, settings, log, 1);
+    context.control.nodes.joined = true;
+    platform_agent agent(context, [](const control_plane_effects&) {});
+    const loop_event ticks =
+        loop_event::every(loop, milliseconds(10), [&agent] { agent.tick(monotonic_now()); });
+    loop.run_for(milliseconds(2500));
+    EXPECT_EQ(context.control.contracts.held.id.version, 7U);
+}
