An unreadable entry or report of another writer ends no node

Ports out of range were acknowledged when a report named them.

Cause: platform_agent passed the bytes of each seed on as an address to join at, ZeroMQ's connect threw, and nothing between the callback and main caught it.

Evidence: the process prints "Invalid argument" and exits with 5 half a second after the write; a seed with a readable address that nobody listens on ends nothing.

Fix, at each place where such a value is decoded: - seeds: entries that are no address are counted (`ignored_entries_total`), logged at a bounded rate (`platform-entry-ignored`) and skipped; the others hold. Heads and ledger maps likewise; a ledger map with a data centre without shards, by whose number keys are divided, is none. A list without end stops at 100,000 values. - messages: a frame for a text that is no address is counted and not sent, whether the store or a peer named it. - reports: address, names, start, sequence and slots are checked; what is out of range is answered 400. The start of an odd report could make all later reports of the worker outdated. - peers: a member record whose incarnation is above 2^53 could not be refuted and is ignored. - configuration: durations of 2^32 ms and more wrapped. - no exception leaves a callback of the loop: it is counted and logged (`callback-failed`) and the node continues.

--- a/include/waxwingfall/cluster/membership.h
+++ b/include/waxwingfall/cluster/membership.h
@@ -78,7 +78,8 @@
     std::vector<std::string> contacts; ///< control addresses to join at
     std::uint32_t join_attempts = 0;
     time_point next_join;
-    std::uint64_t name_conflicts = 0; ///< records with this node's name and another address
+    std::uint64_t implausible_records = 0; ///< that were ignored
+    std::uint64_t name_conflicts = 0;      ///< records with this node's name and another address
 };
 
 /// Returns the state of a node that starts at `now` with the given record and addresses of possible peers.
--- a/include/waxwingfall/cluster/poll_schedule.h
+++ b/include/waxwingfall/cluster/poll_schedule.h
@@ -61,8 +61,9 @@
 /// newer version and the store has not. A late response is still of use.
 bool is_overdue(const open_read& read, const poll_inputs& inputs, time_point now);
 
-/// Returns the pause after the last of `failures` reads in a row that got no response in time or a refusal. There
-/// is none after the first one: its connection may have broken while the store is well and has newer versions.
+/// Returns the pause after the last of `failures` reads in a row that got no response in time or a refusal.
+/// There is none after the first one: its connection may have broken while the store is well and has newer
+/// versions.
 milliseconds pause_after_failures(std::uint32_t failures, bool reads_for_others, random_source& random);
 
 /// Returns the mean time between the end of a poll and the next one.
--- a/include/waxwingfall/link/event_loop.h
+++ b/include/waxwingfall/link/event_loop.h
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 
 #include <event2/event.h>
 #include <sys/time.h>
@@ -25,12 +27,22 @@
 
     void stop();
 
+    /// Sets what is done with an exception that leaves a callback. Without a handler it ends the loop, whose
+    /// caller receives it.
+    void on_exception(std::function<void(const std::string& what)> handler) {
+        exception_handler_ = std::move(handler);
+    }
+
+    /// Calls `action` and passes an exception of it to the handler.
+    void run_guarded(const std::function<void()>& action) const;
+
 private:
     struct base_deleter {
         void operator()(event_base* base) const { event_base_free(base); }
     };
     std::unique_ptr<event_base, base_deleter> base_;
     bool stopped_ = false;
+    std::function<void(const std::string&)> exception_handler_;
 };
 
 /// A callback registered with the loop: one-shot after a delay, periodic, on a signal, or when a file
--- a/include/waxwingfall/link/http.h
+++ b/include/waxwingfall/link/http.h
@@ -85,6 +85,7 @@
     struct http_deleter {
         void operator()(evhttp* http) const { evhttp_free(http); }
     };
+    const event_loop& loop_;
     std::unique_ptr<evhttp, http_deleter> http_;
     evhttp_bound_socket* socket_ = nullptr;
     handler on_request_;
--- a/include/waxwingfall/link/message_link.h
+++ b/include/waxwingfall/link/message_link.h
@@ -22,8 +22,9 @@
     std::uint64_t bytes_sent = 0;
     std::uint64_t frames_received = 0;
     std::uint64_t bytes_received = 0;
-    std::uint64_t frames_dropped = 0; ///< the send queue of the peer was full
-    std::uint64_t frames_refused = 0; ///< could not be parsed
+    std::uint64_t frames_dropped = 0;     ///< the send queue of the peer was full
+    std::uint64_t frames_refused = 0;     ///< could not be parsed
+    std::uint64_t frames_unaddressed = 0; ///< not sent, because no address could be read
 };
 
 /// Messaging between nodes over ZeroMQ: one pull socket that receives from all peers, and one push socket for
@@ -37,7 +38,8 @@
                  std::vector<address_translation> translations,
                  std::function<void(const wire::frame&)> on_frame);
 
-    /// Queues a frame for the node that listens on `address`; does nothing if `address` is empty.
+    /// Queues a frame for the node that listens on `address`. Does nothing if `address` is empty; only counts
+    /// the frame if it is no address.
     void send(const std::string& address, const wire::frame& frame);
 
     /// Closes the sockets of peers to which nothing was sent for longer than `idle`.
@@ -52,7 +54,8 @@
         time_point last_used;
     };
     void receive_all();
-    peer& connect(const std::string& address);
+    /// The socket for an address, or null if `address` is none.
+    peer* connect(const std::string& address);
 
     zmq::context_t context_{1};
     zmq::socket_t receive_socket_;
--- a/include/waxwingfall/node/metrics.h
+++ b/include/waxwingfall/node/metrics.h
@@ -54,6 +54,12 @@
 
     std::vector<prometheus::MetricFamily> collect() const { return registry_.Collect(); }
 
+    /// Counts an entry of the store that can't be read.
+    void record_ignored_entry();
+
+    /// Counts an exception that left a callback.
+    void record_callback_failure();
+
 private:
     prometheus::Registry registry_;
     prometheus::Family<prometheus::Histogram>& calls_;
@@ -62,6 +68,8 @@
     prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Family<prometheus::Histogram>& store_call_times_;
     prometheus::Family<prometheus::Counter>& store_bytes_;
+    prometheus::Counter& ignored_entries_;
+    prometheus::Counter& callback_failures_;
 };
 
 } // namespace waxwingfall
--- a/include/waxwingfall/node/node.h
+++ b/include/waxwingfall/node/node.h
@@ -27,6 +27,9 @@
     /// shutdown is in progress.
     void shut_down();
 
+    /// Counts and logs an exception that left a callback of the event loop. The node continues.
+    void record_callback_failure(const std::string& what);
+
     /// Reads the settings file again, after a signal or a change of the file, and applies the settings that
     /// may change in a running node. An invalid file changes nothing.
     void reload(const std::string& path);
--- a/include/waxwingfall/node/platform_agent.h
+++ b/include/waxwingfall/node/platform_agent.h
@@ -48,7 +48,7 @@
         bool reads_for_others = true;
         exchange_handle call; ///< the last read or watch
         std::uint64_t call_number = 0;
-        open_read open;       ///< that call, while it is pending
+        open_read open; ///< that call, while it is pending
         /// Earlier ones whose responses were overdue and may still come, the oldest first.
         std::deque<exchange_handle> late;
         bool pending = false;
@@ -60,6 +60,8 @@
 
     void poll_seeds(time_point now);
     void handle_seeds(const store_response& response);
+    /// Counts and logs an entry of another writer that can't be read.
+    void ignore_entry(const std::string& key, const std::string& reason);
     void watch(watch_state& state, const std::string& key, time_point now,
                void (platform_agent::*handler)(const store_response&));
     void poll_configuration(bool reads_for_others, time_point now);
--- a/include/waxwingfall/node/upstream.h
+++ b/include/waxwingfall/node/upstream.h
@@ -92,6 +92,8 @@
     void remove_idle(connection& broken);
     void close_idle_if_silent(const active_request& overdue);
     void deliver(connection& conn, bool is_malformed);
+    void receive(bufferevent* stream, const std::shared_ptr<connection>& conn);
+    void handle_event(short what, const std::shared_ptr<connection>& conn);
     static void on_readable(bufferevent* stream, void* context);
     static void on_event(bufferevent* stream, short what, void* context);
 
--- a/include/waxwingfall/support/event_log.h
+++ b/include/waxwingfall/support/event_log.h
@@ -22,6 +22,7 @@
     settings_reloaded = 105,
     settings_refused = 106,
     node_withdrawn = 107,
+    callback_failed = 108,
     member_joined = 200,
     member_suspected = 201,
     member_left = 202,
--- a/lib/call/ledger_map.cpp
+++ b/lib/call/ledger_map.cpp
@@ -208,6 +208,9 @@
     map.version = in.version();
     for (const wire::ledger_zone& in_entry : in.zones()) {
         ledger_data_centre entry{in_entry.data_centre(), in_entry.born_ms(), {}};
+        if (in_entry.shards().empty()) {
+            return std::nullopt;
+        }
         for (const wire::shard_owners& shard : in_entry.shards()) {
             entry.shards.push_back({shard.primary(), shard.backup(), shard.epoch()});
         }
--- a/lib/cluster/membership.cpp
+++ b/lib/cluster/membership.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Incarnations are start times in milliseconds, raised by refutations. A record with a higher one could not
+/// be refuted for good.
+constexpr std::uint64_t max_incarnation = 1ULL << 53U;
+
 std::uint64_t record_hash(const member& value) {
     if (value.state == member_state::dead) {
         return 0;
@@ -224,6 +228,10 @@
     membership_effects effects;
     std::vector<member> updates;
     for (const member& record : records) {
+        if (record.incarnation > max_incarnation) {
+            ++state.implausible_records;
+            continue;
+        }
         if (record.id == state.self.id) {
             const bool is_alive = record.state == member_state::alive;
             const bool is_newer = record.incarnation > state.self.incarnation;
--- a/lib/link/event_loop.cpp
+++ b/lib/link/event_loop.cpp
@@ -12,6 +12,7 @@
 
 struct loop_event::state {
     event* handle = nullptr;
+    const event_loop* loop = nullptr;
     std::function<void()> action;
 };
 
@@ -45,6 +46,17 @@
     return stopped_;
 }
 
+void event_loop::run_guarded(const std::function<void()>& action) const {
+    try {
+        action();
+    } catch (const std::exception& error) {
+        if (!exception_handler_) {
+            throw;
+        }
+        exception_handler_(error.what());
+    }
+}
+
 void event_loop::stop() {
     stopped_ = true;
     event_base_loopbreak(base_.get());
@@ -53,11 +65,11 @@
 loop_event loop_event::make(const event_loop& loop, int descriptor, short flags, const milliseconds* delay,
                             std::function<void()> action) {
     loop_event result;
-    result.state_.reset(new state{nullptr, std::move(action)});
+    result.state_.reset(new state{nullptr, &loop, std::move(action)});
     const auto callback = [](evutil_socket_t, short, void* context) {
         // Copied because the action may destroy its own event.
         const auto action = static_cast<state*>(context)->action;
-        action();
+        static_cast<state*>(context)->loop->run_guarded(action);
     };
     result.state_->handle = event_new(loop.base(), descriptor, flags, callback, result.state_.get());
     if (delay == nullptr) {
--- a/lib/link/http.cpp
+++ b/lib/link/http.cpp
@@ -52,7 +52,7 @@
 void end_exchange(pending_exchange& pending, const http_response& result) {
     const auto ended = std::move(pending.self);
     ended->deadline = {};
-    ended->done(result);
+    ended->loop->run_guarded([&] { ended->done(result); });
 }
 
 http_response failed_response(bool may_have_been_sent) {
@@ -170,7 +170,7 @@
 }
 
 http_server::http_server(const event_loop& loop, const ip_address& address, handler on_request)
-    : http_(evhttp_new(loop.base())), on_request_(std::move(on_request)) {
+    : loop_(loop), http_(evhttp_new(loop.base())), on_request_(std::move(on_request)) {
     evhttp_set_max_body_size(http_.get(), max_body_bytes);
     evhttp_set_max_headers_size(http_.get(), max_header_bytes);
     socket_ = evhttp_bind_socket_with_handle(http_.get(), address.host.c_str(), address.port);
@@ -183,7 +183,8 @@
     evhttp_set_gencb(
         http_.get(),
         [](evhttp_request* request, void* context) {
-            static_cast<http_server*>(context)->on_request_(request);
+            const auto* server = static_cast<http_server*>(context);
+            server->loop_.run_guarded([&] { server->on_request_(request); });
         },
         this);
 }
--- a/lib/link/message_link.cpp
+++ b/lib/link/message_link.cpp
@@ -57,28 +57,36 @@
     }
 }
 
-message_link::peer& message_link::connect(const std::string& address) {
+message_link::peer* message_link::connect(const std::string& address) {
     const auto existing = peers_.find(address);
     if (existing != peers_.end()) {
-        return existing->second;
+        return &existing->second;
+    }
+    const auto target = parse_address(translate(translations_, address));
+    if (!target) {
+        return nullptr;
     }
     zmq::socket_t socket(context_, zmq::socket_type::push);
     set_common_options(socket);
     socket.set(zmq::sockopt::sndhwm, send_queue_frames);
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_initial_ms);
     socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
-    socket.connect("tcp://" + translate(translations_, address));
-    return peers_.emplace(address, peer{std::move(socket), {}}).first->second;
+    socket.connect("tcp://" + to_string(*target));
+    return &peers_.emplace(address, peer{std::move(socket), {}}).first->second;
 }
 
 void message_link::send(const std::string& address, const wire::frame& frame) {
     if (address.empty()) {
         return;
     }
-    peer& receiver = connect(address);
-    receiver.last_used = monotonic_now();
+    peer* receiver = connect(address);
+    if (receiver == nullptr) {
+        counts_.frames_unaddressed += 1;
+        return;
+    }
+    receiver->last_used = monotonic_now();
     const std::string bytes = frame.SerializeAsString();
-    if (!receiver.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+    if (!receiver->socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
         counts_.frames_dropped += 1;
         return;
     }
--- a/lib/node/admin.cpp
+++ b/lib/node/admin.cpp
@@ -138,6 +138,7 @@
     add("control_bytes_received_total", link.bytes_received);
     add("control_frames_dropped_total", link.frames_dropped);
     add("control_frames_refused_total", link.frames_refused);
+    add("control_frames_unaddressed_total", link.frames_unaddressed);
     add("control_peers", node_.link->open_peers());
     add("ledger_records", node_.records.record_count);
     add("ledger_answer_bytes", node_.records.response_bytes);
--- a/lib/node/leave_records.cpp
+++ b/lib/node/leave_records.cpp
@@ -46,6 +46,7 @@
         const auto left =
             response.status == store_status::ok ? decode_left_worker(response.value.bytes) : std::nullopt;
         if (response.status == store_status::ok && !left) {
+            node_.metrics.record_ignored_entry();
             node_.log.write(event_id::platform_entry_ignored, wall_now(),
                             {{"key", key_}, {"why", "not a record of a leave"}});
         }
--- a/lib/node/metrics.cpp
+++ b/lib/node/metrics.cpp
@@ -19,6 +19,8 @@
     metric_descriptor{"store_call_seconds", "histogram", "call",
                       "calls to the platform's key-value service, watches included"},
     metric_descriptor{"store_bytes_total", "counter", "call", "bytes of responses to these calls"},
+    metric_descriptor{"ignored_entries_total", "counter", "", "entries of the store that can't be read"},
+    metric_descriptor{"callback_failures_total", "counter", "", "exceptions that left a callback"},
     metric_descriptor{"enforced_version", "gauge", "", "version of the document in force"},
     metric_descriptor{"newest_known_version", "gauge", "", "newest version that this node has heard of"},
     metric_descriptor{"version_conflicts_total", "counter", "",
@@ -46,6 +48,8 @@
     metric_descriptor{"control_bytes_received_total", "counter", "", "bytes of messages from other nodes"},
     metric_descriptor{"control_frames_dropped_total", "counter", "", "messages dropped before a full queue"},
     metric_descriptor{"control_frames_refused_total", "counter", "", "messages that did not parse"},
+    metric_descriptor{"control_frames_unaddressed_total", "counter", "",
+                      "messages not sent, as their address could not be read"},
     metric_descriptor{"control_peers", "gauge", "", "open sockets to other nodes"},
     metric_descriptor{"ledger_records", "gauge", "", "idempotency keys recorded here"},
     metric_descriptor{"ledger_answer_bytes", "gauge", "", "bytes of answers kept for them"},
@@ -91,7 +95,18 @@
       refusals_(build_family(prometheus::BuildCounter(), "refusals_total", registry_)),
       store_calls_(build_family(prometheus::BuildCounter(), "store_calls_total", registry_)),
       store_call_times_(build_family(prometheus::BuildHistogram(), "store_call_seconds", registry_)),
-      store_bytes_(build_family(prometheus::BuildCounter(), "store_bytes_total", registry_)) {}
+      store_bytes_(build_family(prometheus::BuildCounter(), "store_bytes_total", registry_)),
+      ignored_entries_(build_family(prometheus::BuildCounter(), "ignored_entries_total", registry_).Add({})),
+      callback_failures_(
+          build_family(prometheus::BuildCounter(), "callback_failures_total", registry_).Add({})) {}
+
+void node_metrics::record_ignored_entry() {
+    ignored_entries_.Increment();
+}
+
+void node_metrics::record_callback_failure() {
+    callback_failures_.Increment();
+}
 
 void node_metrics::record_call(request_kind kind, outcome result, milliseconds age) {
     calls_
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -224,6 +224,11 @@
     }
 }
 
+void node::record_callback_failure(const std::string& what) {
+    context_.metrics.record_callback_failure();
+    context_.log.write(event_id::callback_failed, wall_now(), {{"what", what}});
+}
+
 void node::reload(const std::string& path) {
     const auto log_refused = [&](const std::string& faults) {
         context_.log.write(event_id::settings_refused, wall_now(), {{"faults", faults}});
--- a/lib/node/platform_agent.cpp
+++ b/lib/node/platform_agent.cpp
@@ -119,6 +119,10 @@
     seed_polls_ += 1;
     std::vector<std::string> unknown_seeds;
     for (const stored_value& seed : response.values) {
+        if (!parse_address(seed.bytes)) {
+            ignore_entry(seed.key, "not an address");
+            continue;
+        }
         const bool is_known = std::any_of(nodes.members.begin(), nodes.members.end(), [&](const auto& entry) {
             return entry.second.control_address == seed.bytes && entry.second.state != member_state::dead;
         });
@@ -140,6 +144,11 @@
     add_contacts(nodes, unknown_seeds);
 }
 
+void platform_agent::ignore_entry(const std::string& key, const std::string& reason) {
+    node_.metrics.record_ignored_entry();
+    node_.log.write(event_id::platform_entry_ignored, wall_now(), {{"key", key}, {"why", reason}});
+}
+
 void platform_agent::poll_configuration(bool reads_for_others, time_point now) {
     const std::uint64_t held = node_.control.contracts.held.id.version;
     if (held != last_held_version_) {
@@ -243,8 +252,12 @@
     if (response.status != store_status::ok) {
         return;
     }
-    const environment_head head = boost::leaf::try_handle_all(
-        [&] { return decode_head(response.value.bytes); }, [] { return environment_head{}; });
+    const environment_head head =
+        boost::leaf::try_handle_all([&] { return decode_head(response.value.bytes); },
+                                    [&] {
+                                        ignore_entry(response.value.key, "not a head");
+                                        return environment_head{};
+                                    });
     const accepted_version current = newest(head);
     const std::uint64_t held = node_.control.contracts.held.id.version;
     if (current.id.version < held && logged_older_version_ != current.id.version) {
@@ -318,7 +331,9 @@
         return;
     }
     const auto map = decode_ledger_map(response.value.bytes);
-    if (map) {
+    if (!map) {
+        ignore_entry(response.value.key, "not a ledger map");
+    } else {
         sink_(apply_platform_ledger(node_.control,
                                     {{map->version, digest_of(response.value.bytes)}, response.value.bytes},
                                     monotonic_now()));
--- a/lib/node/upstream.cpp
+++ b/lib/node/upstream.cpp
@@ -281,13 +281,17 @@
 void upstream_pool::on_readable(bufferevent* stream, void* context) {
     const std::shared_ptr<connection> conn = static_cast<connection*>(context)->shared_from_this();
     upstream_pool& pool = *conn->pool;
+    pool.loop_.run_guarded([&] { pool.receive(stream, conn); });
+}
+
+void upstream_pool::receive(bufferevent* stream, const std::shared_ptr<connection>& conn) {
     if (conn->current == 0) {
         // Data on an idle connection belongs to no request.
-        pool.remove_idle(*conn);
+        remove_idle(*conn);
         return;
     }
     if (conn->is_reused) {
-        pool.last_delivery_on_reused_ = monotonic_now();
+        last_delivery_on_reused_ = monotonic_now();
     }
     evbuffer* input = bufferevent_get_input(stream);
     bool is_malformed = false;
@@ -302,7 +306,7 @@
         is_malformed =
             (error != HPE_OK && error != HPE_PAUSED) || conn->unrelated_bytes > max_unrelated_bytes;
     }
-    pool.deliver(*conn, is_malformed);
+    deliver(*conn, is_malformed);
 }
 
 void upstream_pool::deliver(connection& conn, bool is_malformed) {
@@ -331,27 +335,31 @@
 void upstream_pool::on_event(bufferevent* /*stream*/, short what, void* context) {
     const std::shared_ptr<connection> conn = static_cast<connection*>(context)->shared_from_this();
     upstream_pool& pool = *conn->pool;
+    pool.loop_.run_guarded([&] { pool.handle_event(what, conn); });
+}
+
+void upstream_pool::handle_event(short what, const std::shared_ptr<connection>& conn) {
     if (conn->current == 0) {
-        pool.remove_idle(*conn);
+        remove_idle(*conn);
         return;
     }
-    active_request& request = *pool.active_.at(conn->current);
+    active_request& request = *active_.at(conn->current);
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         conn->connected = true;
-        pool.write_request(request);
+        write_request(request);
         return;
     }
     if (!conn->connected) {
-        pool.finish(request, upstream_end::not_connected);
+        finish(request, upstream_end::not_connected);
         return;
     }
     if ((what & BEV_EVENT_EOF) != 0) {
         // A response without a length ends with its connection.
         http_parser_execute(&conn->parser, &response_parser_settings(), nullptr, 0);
-        pool.deliver(*conn, !conn->complete);
+        deliver(*conn, !conn->complete);
         return;
     }
-    pool.finish(request, upstream_end::lost);
+    finish(request, upstream_end::lost);
 }
 
 } // namespace waxwingfall
--- a/lib/store/store_client.cpp
+++ b/lib/store/store_client.cpp
@@ -13,6 +13,9 @@
 
 namespace http_status = platform::store_http_status;
 
+/// Bounds a list whose pages never end.
+constexpr std::size_t max_listed_values = 100'000;
+
 store_status status_of(const http_response& response) {
     if (response.delivery_status == http_response::delivery::not_connected) {
         return store_status::not_reached;
@@ -76,7 +79,8 @@
                  state->done(malformed_response());
                  return;
              }
-             const bool has_more = page->has_more && !page->values.empty();
+             const bool has_more =
+                 page->has_more && !page->values.empty() && state->values.size() < max_listed_values;
              std::move(page->values.begin(), page->values.end(), std::back_inserter(state->values));
              if (has_more) {
                  list_page(state);
--- a/lib/support/event_log.cpp
+++ b/lib/support/event_log.cpp
@@ -36,6 +36,7 @@
     event_row{settings_reloaded, "settings-reloaded", "info"},
     event_row{settings_refused, "settings-refused", "error"},
     event_row{node_withdrawn, "node-withdrawn", "info"},
+    event_row{callback_failed, "callback-failed", "error", failure_rate},
     event_row{member_joined, "member-joined", "info"},
     event_row{member_suspected, "member-suspected", "warn"},
     event_row{member_left, "member-left", "info"},
--- a/tools/waxwingfall/main.cpp
+++ b/tools/waxwingfall/main.cpp
@@ -39,6 +39,7 @@
     event_loop loop;
     try {
         node running(loop, settings, log, std::random_device()(), [&] { loop.stop(); });
+        loop.on_exception([&](const std::string& what) { running.record_callback_failure(what); });
         const auto on_term = loop_event::on_signal(loop, SIGTERM, [&] { running.shut_down(); });
         const auto on_int = loop_event::on_signal(loop, SIGINT, [&] { running.shut_down(); });
         const auto on_hup = loop_event::on_signal(loop, SIGHUP, [&] { running.reload(path); });
--- a/unittests/node/platform_agent_test.cpp
+++ b/unittests/node/platform_agent_test.cpp
@@ -125,6 +125,27 @@
     http_server server_;
 };
 
+/// A store whose seed list holds entries of another writer.
+class odd_seed_store {
+public:
+    odd_seed_store(const event_loop& loop, const ip_address& address, std::vector<std::string> seeds)
+        : server_(loop, address, [seeds = std::move(seeds)](evhttp_request* request) {
+              nlohmann::json items = nlohmann::json::array();
+              if (query_value(request, "prefix").starts_with("seed/")) {
+                  for (std::size_t index = 0; index < seeds.size(); ++index) {
+                      items.push_back({{"key", "seed/e/d/" + std::to_string(index)},
+                                       {"value", platform::encode_base64(seeds[index])},
+                                       {"rev", 3}});
+                  }
+              }
+              send_response(request, 200,
+                            nlohmann::json{{"items", items}, {"has_more", false}, {"as_of", 5}}.dump());
+          }) {}
+
+private:
+    http_server server_;
+};
+
 /// An agent that reads the operator's key from a store that never responds to watches.
 class tested_reader {
 public:
@@ -277,3 +298,21 @@
     loop.run_for(milliseconds(2500));
     EXPECT_EQ(context.control.contracts.held.id.version, 7U);
 }
+
+// Guards against an entry of another writer that ends each node that lists the seeds.
+TEST(PlatformAgent, SeedsThatAreNoAddressesAreIgnoredAndTheOthersHold) {
+    event_loop loop;
+    const ip_address address = test::unused_address();
+    const odd_seed_store store(loop, address,
+                               {R"({"addr":7})", "", "127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:-1",
+                                "127.0.0.1:7391", "\xff\xfe", std::string(1000, '['),
+                                std::string("a\0b", 3)});
+    const node_settings settings = bridge_settings(address);
+    event_log log("reader", "/dev/null");
+    node_context context(loop, settings, log, 1);
+    platform_agent agent(context, [](const control_plane_effects&) {});
+    const loop_event ticks =
+        loop_event::every(loop, milliseconds(10), [&agent] { agent.tick(monotonic_now()); });
+    loop.run_for(milliseconds(800));
+    EXPECT_EQ(context.control.nodes.contacts, std::vector<std::string>{"127.0.0.1:7391"});
+}
--- a/unittests/platform/configuration_wire_test.cpp
+++ b/unittests/platform/configuration_wire_test.cpp
@@ -107,3 +107,34 @@
     const bool is_rejected = !read;
     RC_ASSERT((is_rejected || rejection_reason(encode_contract(read->content)).empty()));
 }
+
+TEST(ConfigurationWire, RejectsDurationsOverTheRange) {
+    EXPECT_FALSE(decoded(replaced("1500ms", "4294967296ms")));
+    EXPECT_TRUE(decoded(replaced("1500ms", "60s")));
+}
+
+// Guards against an entry of another writer that ends a node.
+RC_GTEST_PROP(ConfigurationWire, DamagedTextIsRejectedOrRead, ()) {
+    std::string text = valid_text;
+    const int edits = *rc::gen::inRange(1, 6);
+    for (int edit = 0; edit < edits; ++edit) {
+        const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+        const auto count = *rc::gen::inRange<std::size_t>(0, 8);
+        text.replace(at, count,
+                     *rc::gen::element<std::string>("", "[", "{\"a\":", "-1", "1e400", "18446744073709551616",
+                                                    "null", "\xff", std::string(1, '\0'), "[[[[[[", "\""));
+    }
+    const auto parsed = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_CHECK(decode_configuration(text));
+            return true;
+        },
+        [] { return false; });
+    RC_TAG(parsed ? "read" : "rejected");
+}
+
+TEST(ConfigurationWire, RejectsDeepNesting) {
+    constexpr std::size_t depth = 1'000'000;
+    EXPECT_FALSE(decoded(replaced("null", std::string(depth, '[') + std::string(depth, ']'))));
+    EXPECT_FALSE(decoded(std::string(depth, '{')));
+}
--- a/unittests/platform/heartbeat_wire_test.cpp
+++ b/unittests/platform/heartbeat_wire_test.cpp
@@ -50,6 +50,28 @@
     EXPECT_FALSE(decoded(""));
 }
 
+// Guards against a report of another writer that ends a node or makes its worker's own reports outdated.
+TEST(HeartbeatWire, RejectsValuesOutOfRange) {
+    for (const char* address :
+         {"10.128.0.9:99999", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9",
+          "10.128.0.9:808000000000000000000000000000000000000000000000000000000000000"}) {
+        EXPECT_FALSE(decoded(replaced("10.128.0.9:8080", address))) << address;
+    }
+    EXPECT_FALSE(decoded(replaced("1771928695000", "18446744073709551615")));
+    EXPECT_FALSE(decoded(replaced("1771928695000", "1e400")));
+    EXPECT_FALSE(decoded(replaced(R"("sequence":4)", R"("sequence":18446744073709551615)")));
+    EXPECT_FALSE(decoded(replaced(R"("slots":12)", R"("slots":1000001)")));
+    EXPECT_FALSE(decoded(replaced("huvo11a", std::string(300, 'h'))));
+    EXPECT_FALSE(decode_heartbeat({"i-1", true}, R"({"born":18446744073709551615})"));
+    EXPECT_FALSE(decode_heartbeat_path("/instances/" + std::string(300, 'i') + "/heartbeat"));
+}
+
+TEST(HeartbeatWire, RejectsDeepNesting) {
+    constexpr std::size_t depth = 1'000'000;
+    EXPECT_FALSE(decoded(std::string(depth, '[')));
+    EXPECT_FALSE(decoded(replaced("12", std::string(depth, '[') + std::string(depth, ']'))));
+}
+
 TEST(HeartbeatWire, DeregistrationNeedsNoBody) {
     EXPECT_EQ(decode_heartbeat({"i-1", true}, "")->state, worker_state::left);
     EXPECT_EQ(decode_heartbeat({"i-1", true}, R"({"born":7})")->incarnation, 7U);
--- a/unittests/store/left_worker_test.cpp
+++ b/unittests/store/left_worker_test.cpp
@@ -18,5 +18,5 @@
 
 RC_GTEST_PROP(LeftWorker, ArbitraryBytesNameAWorkerOrNone, (const std::string& bytes)) {
     const auto left = decode_left_worker(bytes);
-    RC_ASSERT(!left || !left->worker_id.empty());
+    RC_ASSERT((!left || !left->worker_id.empty()));
 }
