A node that stops sends its responses whole

Cause: call_proxy and inbound_proxy hand the end of a response to libevent and forget the request. Up to 256 KB may wait in the process then. The shutdown counted open requests only, and the destructors closed connections with unsent bytes.

Evidence: the log says `open_calls 0` at the stop while the clients still receive.

Fix: `unsent_responses` counts a response from its end until its last byte has been written or its connection is closed; a node that stops waits for them as for open requests, up to the same timeout.

`node-stopped` says `unsent_responses`.

--- a/include/waxwingfall/node/downstream.h
+++ b/include/waxwingfall/node/downstream.h
@@ -13,12 +13,27 @@
 
 namespace waxwingfall {
 
+/// Counts the responses that have ended and of which bytes still wait in this process for their connections.
+/// A process that exits meanwhile truncates them.
+class unsent_responses {
+public:
+    /// Counts the response to `request`, which is about to end, until its last byte has been written or its
+    /// connection is closed.
+    void track(evhttp_request* request);
+
+    std::size_t count() const { return *count_; }
+
+private:
+    std::shared_ptr<std::size_t> count_ = std::make_shared<std::size_t>(0);
+};
+
 /// The response to a request that this process received, sent at once or streamed with a bounded output
 /// buffer. Destroying it before `end` or `reply` closes the connection, so that a truncated response never
 /// looks complete.
 class downstream {
 public:
-    explicit downstream(evhttp_request* request);
+    /// `unsent` counts the response once it has ended.
+    downstream(evhttp_request* request, unsent_responses& unsent);
     ~downstream();
     downstream(const downstream&) = delete;
     downstream& operator=(const downstream&) = delete;
@@ -48,6 +63,7 @@
     void detach();
 
     evhttp_request* request_ = nullptr;
+    unsent_responses& unsent_;
     bool started_ = false;
     bool disconnected_ = false;
     std::function<void()> on_drained_;
--- a/include/waxwingfall/node/node_context.h
+++ b/include/waxwingfall/node/node_context.h
@@ -16,6 +16,7 @@
 #include "waxwingfall/contract/document.h"
 #include "waxwingfall/link/event_loop.h"
 #include "waxwingfall/link/message_link.h"
+#include "waxwingfall/node/downstream.h"
 #include "waxwingfall/node/metrics.h"
 #include "waxwingfall/node/settings.h"
 #include "waxwingfall/support/event_log.h"
@@ -58,6 +59,7 @@
     std::shared_ptr<const contract> active_contract; ///< null until a document is enforced
     std::uint64_t version = 0;                       ///< of the active contract
 
+    unsent_responses unsent; ///< to clients and to other nodes
     call_counts counts;
     node_metrics metrics;
     std::unique_ptr<message_link> link;
--- a/lib/node/call_proxy.cpp
+++ b/lib/node/call_proxy.cpp
@@ -51,7 +51,7 @@
     node_.counts.received += 1;
     auto new_call = std::make_unique<call>();
     new_call->received_at = monotonic_now();
-    new_call->client = std::make_unique<downstream>(raw);
+    new_call->client = std::make_unique<downstream>(raw, node_.unsent);
     const auto fault = read_request(raw, new_call->received);
     const bool is_read = new_call->received.method == "GET" || new_call->received.method == "HEAD";
     new_call->has_key =
--- a/lib/node/downstream.cpp
+++ b/lib/node/downstream.cpp
@@ -22,9 +22,33 @@
     }
 }
 
+using response_count = std::shared_ptr<std::size_t>;
+
+/// Uncounts the response to which `context`, a `response_count`, belongs.
+void uncount(void* context) {
+    const std::unique_ptr<response_count> count(static_cast<response_count*>(context));
+    --**count;
+}
+
 } // namespace
 
-downstream::downstream(evhttp_request* request) : request_(request) {
+void unsent_responses::track(evhttp_request* request) {
+    ++*count_;
+    auto* counted = new response_count(count_);
+    evhttp_connection_set_closecb(
+        evhttp_request_get_connection(request), [](evhttp_connection*, void* context) { uncount(context); },
+        counted);
+    evhttp_request_set_on_complete_cb(
+        request,
+        [](evhttp_request* complete, void* context) {
+            evhttp_connection_set_closecb(evhttp_request_get_connection(complete), nullptr, nullptr);
+            uncount(context);
+        },
+        counted);
+}
+
+downstream::downstream(evhttp_request* request, unsent_responses& unsent)
+    : request_(request), unsent_(unsent) {
     evhttp_connection_set_closecb(
         evhttp_request_get_connection(request),
         [](evhttp_connection*, void* context) {
@@ -71,6 +95,7 @@
     }
     evhttp_request* request = request_;
     detach();
+    unsent_.track(request);
     send_response(request, status, body, headers);
 }
 
@@ -112,6 +137,7 @@
     }
     evhttp_request* request = request_;
     detach();
+    unsent_.track(request);
     evhttp_send_reply_end(request);
 }
 
--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -81,7 +81,7 @@
     const time_point now = monotonic_now();
     const std::uint64_t id = next_id_++;
     auto new_request = std::make_unique<request>();
-    new_request->client = std::make_unique<downstream>(raw);
+    new_request->client = std::make_unique<downstream>(raw, node_.unsent);
     new_request->client->acknowledge();
     const auto fault = read_request(raw, new_request->received);
     new_request->service = request_header(raw, call_header::service);
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -268,7 +268,7 @@
 void node::advance_shutdown(time_point now) {
     const node_settings& settings = context_.settings;
     const bool is_idle = call_proxy_.open_calls() == 0 && inbound_proxy_.open_requests() == 0 &&
-                         context_.claims.pending_settlements.empty();
+                         context_.claims.pending_settlements.empty() && context_.unsent.count() == 0;
     const bool handed_over = owns_no_shard(context_.records.map, context_.control.nodes.self.id);
     const milliseconds elapsed(elapsed_ms(shutdown_started_, now));
     const shutdown_plan plan =
@@ -286,6 +286,7 @@
     if (plan.stops) {
         context_.log.write(event_id::node_stopped, wall_now(),
                            {{"open_calls", std::to_string(call_proxy_.open_calls())},
+                            {"unsent_responses", std::to_string(context_.unsent.count())},
                             {"handed_over", handed_over ? "yes" : "no"}});
         on_stopped_();
     }
--- a/unittests/processes/test_shutdown.py
+++ b/unittests/processes/test_shutdown.py
@@ -3,6 +3,7 @@
 import http.client
 import pathlib
 import signal
+import socket
 import sys
 import threading
 import time
@@ -14,6 +15,7 @@
 HOST = {"Host": "tirdznieciba.example"}
 NOTICE_MS = 500
 TIMEOUT_MS = 3000
+DOWNLOAD_BYTES_PER_S = 110_000
 
 
 class Shutdown(unittest.TestCase):
@@ -59,6 +61,49 @@
         self.assertEqual(statuses, [200])
         wait_for(lambda: not node.process.alive(), 10, "the node stops")
 
+    def download(self, node, size, sizes):
+        """Downloads `size` bytes at DOWNLOAD_BYTES_PER_S and appends how many of them were received."""
+        host, port = node.calls.split(":")
+        received, head = 0, b""
+        with socket.socket() as connection:
+            # Without these the loopback device takes the whole response into the kernel.
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+            connection.connect((host, int(port)))
+            connection.sendall(f"GET /katalogs?bytes={size} HTTP/1.1\r\nHost: tirdznieciba.example\r\n\r\n".encode())
+            while received < size:
+                chunk = connection.recv(4096)
+                if not chunk:
+                    break
+                if head is not None:
+                    head += chunk
+                    if b"\r\n\r\n" not in head:
+                        continue
+                    chunk, head = head.split(b"\r\n\r\n", 1)[1], None
+                received += len(chunk)
+                time.sleep(len(chunk) / DOWNLOAD_BYTES_PER_S)
+        sizes.append(received)
+
+    def test_node_that_stops_sends_its_responses_to_slow_clients_whole(self):
+        node = self.mesh.by_name("riga-c-tir-1")
+        node.kill(with_worker=False)
+        node.limits = {"leave_notice_ms": NOTICE_MS, "leave_timeout_ms": 10_000}
+        node.start(with_worker=False)
+        self.mesh.wait_members(self.mesh.nodes, 9, 30)
+        wait_for(lambda: node.version() == 1, 10, "the node enforces version 1")
+        size, sizes = 540_000, []
+        clients = [threading.Thread(target=self.download, args=(node, size, sizes)) for _ in range(4)]
+        for client in clients:
+            client.start()
+        time.sleep(0.3)
+        node.process.signal(signal.SIGTERM)
+        for client in clients:
+            client.join()
+        self.assertEqual(sizes, [size] * 4)
+        wait_for(lambda: not node.process.alive(), 5, "the node stops")
+        self.assertEqual(node.events("node-stopped")[-1]["unsent_responses"], "0")
+        node.start(with_worker=False)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
