A reload signal during the start ends no node

Until its handler is set, the signal's default action ends the process.

Fix: main ignores the signal first of all, and takes the time of the settings file before it reads the file, so that a change which the ignored signal announced is found by the check of that time. A signal that comes while the loader still runs can't be met by the program.

--- a/tools/waxwingfall/main.cpp
+++ b/tools/waxwingfall/main.cpp
@@ -34,7 +34,7 @@
     return std::filesystem::last_write_time(path, ignored);
 }
 
-int run_node(node_settings settings, const std::string& path) {
+int run_node(node_settings settings, const std::string& path, std::filesystem::file_time_type last_modified) {
     event_log log(settings.name, settings.log_path);
     event_loop loop;
     try {
@@ -43,7 +43,6 @@
         const auto on_term = loop_event::on_signal(loop, SIGTERM, [&] { running.shut_down(); });
         const auto on_int = loop_event::on_signal(loop, SIGINT, [&] { running.shut_down(); });
         const auto on_hup = loop_event::on_signal(loop, SIGHUP, [&] { running.reload(path); });
-        auto last_modified = modified_at(path);
         const auto on_poll = loop_event::every(loop, settings_poll_period, [&] {
             const auto modified = modified_at(path);
             if (modified != last_modified) {
@@ -61,6 +60,7 @@
 }
 
 int load_and_run(const std::string& path, bool check_only, bool is_first_start) {
+    const auto last_modified = modified_at(path);
     const auto text = read_bounded_file(path);
     if (!text) {
         std::cerr << path << ": " << error_info_of(error_kind::file_unreadable).name
@@ -71,7 +71,7 @@
         [&]() -> boost::leaf::result<int> {
             BOOST_LEAF_AUTO(settings, parse_settings(*text, path));
             settings.is_first_start = is_first_start;
-            return check_only ? 0 : run_node(settings, path);
+            return check_only ? 0 : run_node(settings, path, last_modified);
         },
         [](const fault_list& list) {
             for (const fault& found : list.faults) {
@@ -85,6 +85,9 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    // Until its handler is set, the signal would end the process. A change that it announces meanwhile is
+    // found by the time of the file.
+    std::signal(SIGHUP, SIG_IGN);
     try {
         const auto arguments = docopt::docopt_parse(usage_text, {argv + 1, argv + argc}, true, false);
         return load_and_run(arguments.at("SETTINGS").asString(), arguments.at("--check").asBool(),
--- a/unittests/processes/test_odd_entries.py
+++ b/unittests/processes/test_odd_entries.py
@@ -1,8 +1,9 @@
-"""Tests with real processes that entries and reports of another writer end no node and hide no others."""
+"""Tests with real processes that entries and reports of another writer, and early signals, end no node."""
 
 import base64
 import json
 import pathlib
+import signal
 import sys
 import time
 import unittest
@@ -50,6 +51,25 @@
         report = finish_load(load)[1]
         self.assertEqual(report["answered"], report["asked"], report)
 
+    @staticmethod
+    def has_signal(pid, field):
+        """True if SIGHUP is in a signal set of the process: SigIgn (ignored) or SigCgt (handled)."""
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+        mask = next(line.split()[1] for line in status.splitlines() if line.startswith(field))
+        return int(mask, 16) >> (signal.SIGHUP - 1) & 1 == 1
+
+    def test_reload_signal_that_comes_before_its_handler_is_set_ends_no_node(self):
+        node = self.mesh.by_name("riga-c-rez-2")
+        node.process.kill()
+        node.start(with_worker=False)
+        pid, was_ignored = node.process.popen.pid, False
+        while not self.has_signal(pid, "SigCgt"):
+            if not was_ignored and self.has_signal(pid, "SigIgn"):
+                was_ignored = True
+                node.process.signal(signal.SIGHUP)
+        self.assertTrue(was_ignored)
+        wait_for(lambda: node.version() == 1, 10, "the node enforces version 1")
+
     def test_reports_of_another_writer_end_no_node_and_use_no_worker(self):
         node = self.mesh.by_name("riga-b-rez-2")
         node.process.kill()
