--- a/include/waxwingfall/standin/platform_service.h
+++ b/include/waxwingfall/standin/platform_service.h
@@ -15,8 +15,8 @@
 
 /// An in-memory stand-in for the platform's key-value service, for tests and demonstrations. It implements
 /// the protocol of platform/store_wire.h in a single process. Faults are injected over HTTP at /control:
-/// dropped connections, delayed responses, responses lost after a write, compaction of the history, and a
-/// rollback to a saved state.
+/// dropped connections, delayed or no responses, responses lost after a write, compaction of the history, and
+/// a rollback to a saved state.
 class platform_service {
 public:
     platform_service(const event_loop& loop, const ip_address& address);
@@ -83,6 +83,7 @@
     std::uint64_t next_lease_ = 1;
     counts counts_;
     bool down_ = false;
+    bool silent_ = false; ///< calls get no response, and their connections stay open
     milliseconds response_delay_{0};
     int responses_to_drop_ = 0; ///< after the write was applied
     http_server server_;
--- a/lib/standin/platform_service.cpp
+++ b/lib/standin/platform_service.cpp
@@ -53,6 +53,9 @@
             static_cast<platform_service*>(self)->on_connection_closed(connection);
         },
         this);
+    if (silent_) {
+        return;
+    }
     if (response_delay_.count() > 0) {
         delayed_.push_back({request, monotonic_now() + response_delay_});
         return;
@@ -258,6 +261,12 @@
     if (!down.empty()) {
         down_ = down == "1";
     }
+    if (const std::string silent = query_value(request, "silent"); !silent.empty()) {
+        silent_ = silent == "1";
+        // Responses to open calls are lost; their connections stay open.
+        watches_.clear();
+        delayed_.clear();
+    }
     if (!slow.empty()) {
         response_delay_ = milliseconds(static_cast<std::int64_t>(parse_number(slow)));
     }
