Failed reads, ignored entries and store calls are each counted in one place

Polls of the operator's key were checked for being overdue twice a tick, once in poll_configuration and once in `watch`, where the second check could find nothing. The tick checks the own format's two watches now, and `watch` only starts reads. `restore_leave` loses an argument that had one value.

--- a/include/waxwingfall/node/inbound_proxy.h
+++ b/include/waxwingfall/node/inbound_proxy.h
@@ -36,9 +36,9 @@
     /// Refuses all new requests from now on.
     void stop_admitting() { admission_.leaving = true; }
 
-    /// Learns of the leave that an earlier process of this node acknowledged, or that there is none. `source`
-    /// names in logs who told.
-    void restore_leave(const std::optional<left_worker>& left, const std::string& source);
+    /// Learns from the store of the leave that an earlier process of this node acknowledged, or that there is
+    /// none.
+    void restore_leave(const std::optional<left_worker>& left);
 
     /// Processes a heartbeat or a leave report of the worker.
     report_verdict handle_worker_report(const worker_report& report);
--- a/include/waxwingfall/node/node_context.h
+++ b/include/waxwingfall/node/node_context.h
@@ -66,12 +66,20 @@
     bool shutting_down = false;
 };
 
+struct store_call_record;
+
 /// Builds the local node's member record from its settings.
 member make_local_member(const node_settings& settings);
 
 /// Fills in the environment, sender, reply address and clock of each message and sends it.
 void send_all(node_context& node, std::vector<outgoing> messages);
 
+/// Counts a call to the platform's store that has ended.
+void record_store_call(node_context& node, const store_call_record& ended);
+
+/// Counts and logs an entry of the platform's store that can't be read.
+void ignore_entry(node_context& node, const std::string& key, const std::string& reason);
+
 /// Records that a worker crashed while it ran a request. If the crash was not known yet, gossips it to other
 /// nodes and logs when the request becomes quarantined.
 void broadcast_crash(node_context& node, const std::string& fingerprint, member_id worker, time_point now);
--- a/include/waxwingfall/node/platform_agent.h
+++ b/include/waxwingfall/node/platform_agent.h
@@ -60,11 +60,11 @@
 
     void poll_seeds(time_point now);
     void handle_seeds(const store_response& response);
-    /// Counts and logs an entry of another writer that can't be read.
-    void ignore_entry(const std::string& key, const std::string& reason);
     void watch(watch_state& state, const std::string& key, time_point now,
                void (platform_agent::*handler)(const store_response&));
     void poll_configuration(bool reads_for_others, time_point now);
+    /// Counts a read as failed. Returns the pause until the next one, which reads the current value.
+    milliseconds count_failure(watch_state& state, bool reads_for_others, time_point now);
     /// Counts an open read whose response is overdue as failed, so that the next one starts.
     void check_overdue(watch_state& state, const std::string& key, const poll_inputs& inputs, time_point now);
     void finish_read(watch_state& state, const std::string& key, const store_response& response,
--- a/lib/node/leave_records.cpp
+++ b/lib/node/leave_records.cpp
@@ -20,10 +20,7 @@
 leave_records::leave_records(node_context& node, handler on_read)
     : node_(node), on_read_(std::move(on_read)), client_{&node.loop, node.settings.platform},
       key_(left_worker_key(node.settings.environment, node.settings.name)) {
-    client_.on_end = [this](const store_call_record& ended) {
-        node_.metrics.record_store_call(ended.call, store_status_name(ended.status), ended.duration,
-                                        ended.response_bytes);
-    };
+    client_.on_end = [this](const store_call_record& ended) { record_store_call(node_, ended); };
 }
 
 void leave_records::tick(time_point now) {
@@ -46,9 +43,7 @@
         const auto left =
             response.status == store_status::ok ? decode_left_worker(response.value.bytes) : std::nullopt;
         if (response.status == store_status::ok && !left) {
-            node_.metrics.record_ignored_entry();
-            node_.log.write(event_id::platform_entry_ignored, wall_now(),
-                            {{"key", key_}, {"why", "not a record of a leave"}});
+            ignore_entry(node_, key_, "not a record of a leave");
         }
         on_read_(left);
     });
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -48,9 +48,8 @@
     : settings_(settings), context_(loop, settings, log, seed), on_stopped_(std::move(on_stopped)),
       call_proxy_(context_), inbound_proxy_(context_),
       platform_(context_, [this](control_plane_effects effects) { apply(std::move(effects), "platform"); }),
-      leaves_(
-          context_,
-          [this](const std::optional<left_worker>& left) { inbound_proxy_.restore_leave(left, "store"); }),
+      leaves_(context_,
+              [this](const std::optional<left_worker>& left) { inbound_proxy_.restore_leave(left); }),
       admin_(context_,
              {[this] { return call_proxy_.open_calls(); }, [this] { return inbound_proxy_.open_requests(); },
               [this] { return platform_.is_reachable(); },
--- a/lib/node/node_context.cpp
+++ b/lib/node/node_context.cpp
@@ -1,6 +1,7 @@
 #include "waxwingfall/node/node_context.h"
 
 #include "waxwingfall/contract/snapshot.h"
+#include "waxwingfall/store/store_client.h"
 #include "waxwingfall/support/digest.h"
 
 namespace waxwingfall {
@@ -58,6 +59,16 @@
     }
 }
 
+void record_store_call(node_context& node, const store_call_record& ended) {
+    node.metrics.record_store_call(ended.call, store_status_name(ended.status), ended.duration,
+                                   ended.response_bytes);
+}
+
+void ignore_entry(node_context& node, const std::string& key, const std::string& reason) {
+    node.metrics.record_ignored_entry();
+    node.log.write(event_id::platform_entry_ignored, wall_now(), {{"key", key}, {"why", reason}});
+}
+
 void broadcast_crash(node_context& node, const std::string& fingerprint, member_id worker, time_point now) {
     if (!record_crash(node.crashes, fingerprint, worker, now)) {
         return;
--- a/lib/node/platform_agent.cpp
+++ b/lib/node/platform_agent.cpp
@@ -43,8 +43,7 @@
 platform_agent::platform_agent(node_context& node, control_plane_effects_sink sink)
     : node_(node), sink_(std::move(sink)), client_{&node.loop, node.settings.platform} {
     client_.on_end = [this](const store_call_record& ended) {
-        node_.metrics.record_store_call(ended.call, store_status_name(ended.status), ended.duration,
-                                        ended.response_bytes);
+        record_store_call(node_, ended);
         last_call_ = ended;
     };
     const time_point now = monotonic_now();
@@ -76,8 +75,13 @@
         maintain_seed(*rank, now);
         return;
     }
-    watch(head_, head_key(node_.settings.environment), now, &platform_agent::handle_head);
-    watch(ledger_, ledger_key(node_.settings.environment), now, &platform_agent::handle_ledger_map);
+    const std::string head = head_key(node_.settings.environment);
+    const std::string ledger = ledger_key(node_.settings.environment);
+    const poll_inputs bridge{true, {}, {}, false};
+    check_overdue(head_, head, bridge, now);
+    check_overdue(ledger_, ledger, bridge, now);
+    watch(head_, head, now, &platform_agent::handle_head);
+    watch(ledger_, ledger, now, &platform_agent::handle_ledger_map);
     maintain_seed(*rank, now);
     if (*rank == 0) {
         plan_ledger_map(now);
@@ -120,7 +124,7 @@
     std::vector<std::string> unknown_seeds;
     for (const stored_value& seed : response.values) {
         if (!parse_address(seed.bytes)) {
-            ignore_entry(seed.key, "not an address");
+            ignore_entry(node_, seed.key, "not an address");
             continue;
         }
         const bool is_known = std::any_of(nodes.members.begin(), nodes.members.end(), [&](const auto& entry) {
@@ -144,11 +148,6 @@
     add_contacts(nodes, unknown_seeds);
 }
 
-void platform_agent::ignore_entry(const std::string& key, const std::string& reason) {
-    node_.metrics.record_ignored_entry();
-    node_.log.write(event_id::platform_entry_ignored, wall_now(), {{"key", key}, {"why", reason}});
-}
-
 void platform_agent::poll_configuration(bool reads_for_others, time_point now) {
     const std::uint64_t held = node_.control.contracts.held.id.version;
     if (held != last_held_version_) {
@@ -169,6 +168,16 @@
     watch(head_, platform::configuration_key, now, &platform_agent::handle_configuration);
 }
 
+milliseconds platform_agent::count_failure(watch_state& state, bool reads_for_others, time_point now) {
+    state.pending = false;
+    state.failures += 1;
+    // Several versions may have been accepted meanwhile. A watch would return each of them in full.
+    state.revision = 0;
+    const milliseconds pause = pause_after_failures(state.failures, reads_for_others, node_.random);
+    state.next_attempt = now + pause;
+    return pause;
+}
+
 void platform_agent::check_overdue(watch_state& state, const std::string& key, const poll_inputs& inputs,
                                    time_point now) {
     state.open.is_receiving = state.call.is_receiving();
@@ -180,18 +189,13 @@
         state.late.front().cancel();
         state.late.pop_front();
     }
-    state.pending = false;
-    state.failures += 1;
-    // Several versions may have been accepted meanwhile. A watch would return each of them in full.
-    state.revision = 0;
-    state.next_attempt = now + pause_after_failures(state.failures, inputs.reads_for_others, node_.random);
+    count_failure(state, inputs.reads_for_others, now);
     node_.log.write(event_id::platform_read_overdue, wall_now(),
                     {{"key", key}, {"after_ms", std::to_string(elapsed_ms(state.open.started, now))}});
 }
 
 void platform_agent::watch(watch_state& state, const std::string& key, time_point now,
                            void (platform_agent::*handler)(const store_response&)) {
-    check_overdue(state, key, {state.reads_for_others, {}, {}, false}, now);
     if (state.pending || now < state.next_attempt) {
         return;
     }
@@ -213,16 +217,11 @@
 
 void platform_agent::finish_read(watch_state& state, const std::string& key, const store_response& response,
                                  void (platform_agent::*handler)(const store_response&)) {
-    state.pending = false;
     if (!is_reachable_status(response.status)) {
-        state.failures += 1;
-        // Several versions may have been accepted meanwhile. A watch would return each of them in full.
-        state.revision = 0;
-        const milliseconds pause = pause_after_failures(state.failures, state.reads_for_others, node_.random);
-        state.next_attempt = monotonic_now() + pause;
-        log_read(key, response.status, pause);
+        log_read(key, response.status, count_failure(state, state.reads_for_others, monotonic_now()));
         return;
     }
+    state.pending = false;
     if (response.status != store_status::unchanged) {
         log_read(key, response.status, milliseconds(0));
     }
@@ -255,7 +254,7 @@
     const environment_head head =
         boost::leaf::try_handle_all([&] { return decode_head(response.value.bytes); },
                                     [&] {
-                                        ignore_entry(response.value.key, "not a head");
+                                        ignore_entry(node_, response.value.key, "not a head");
                                         return environment_head{};
                                     });
     const accepted_version current = newest(head);
@@ -332,7 +331,7 @@
     }
     const auto map = decode_ledger_map(response.value.bytes);
     if (!map) {
-        ignore_entry(response.value.key, "not a ledger map");
+        ignore_entry(node_, response.value.key, "not a ledger map");
     } else {
         sink_(apply_platform_ledger(node_.control,
                                     {{map->version, digest_of(response.value.bytes)}, response.value.bytes},
--- a/lib/node/worker_health.cpp
+++ b/lib/node/worker_health.cpp
@@ -95,9 +95,9 @@
                      {"slots", std::to_string(report.slots)}});
 }
 
-void inbound_proxy::restore_leave(const std::optional<left_worker>& left, const std::string& source) {
+void inbound_proxy::restore_leave(const std::optional<left_worker>& left) {
     if (left) {
-        exclude_worker(*left, source);
+        exclude_worker(*left, "store");
     }
     if (const auto applied = apply_deferred_report(node_.worker, monotonic_now())) {
         log_report(*applied);
