--- a/lib/call/worker_view.cpp
+++ b/lib/call/worker_view.cpp
@@ -154,8 +154,9 @@
     if (!may_admit(view, drain, now)) {
         return view.leaving ? error_kind::leaving : error_kind::worker_unreachable;
     }
-    const std::string current = view.latest_report ? view.latest_report->service : std::string();
-    const bool is_for_other_service = !service.empty() && !current.empty() && service != current;
+    const bool names_services =
+        !service.empty() && view.latest_report && !view.latest_report->service.empty();
+    const bool is_for_other_service = names_services && service != view.latest_report->service;
     return is_for_other_service ? std::optional(error_kind::leaving) : std::nullopt;
 }
 
--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -371,20 +371,21 @@
     learn_leave_from_peers();
     std::vector<std::uint64_t> disconnected;
     std::vector<std::uint64_t> overdue;
-    std::vector<std::uint64_t> waits_in_vain;
+    std::vector<std::pair<std::uint64_t, error_kind>> refused;
     for (const auto& [id, open] : requests_) {
         if (open->client->is_disconnected()) {
             disconnected.push_back(id);
         } else if (open->running && now >= open->deadline) {
             overdue.push_back(id);
-        } else if (!open->running && refusal_of(*open, now)) {
-            waits_in_vain.push_back(id);
+        } else if (!open->running) {
+            if (const auto refusal = refusal_of(*open, now)) {
+                refused.emplace_back(id, *refusal);
+            }
         }
     }
-    for (const std::uint64_t id : waits_in_vain) {
-        if (const auto refusal = refusal_of(*requests_.at(id), now)) {
-            refuse(id, *refusal);
-        }
+    // None of them holds a slot, so refusing one decides nothing about the others.
+    for (const auto& [id, refusal] : refused) {
+        refuse(id, refusal);
     }
     for (const std::uint64_t id : disconnected) {
         if (!requests_.contains(id)) {
