--- a/lib/node/inbound_proxy.cpp
+++ b/lib/node/inbound_proxy.cpp
@@ -184,40 +184,6 @@
     started.upstream = worker_.send(node_.settings.worker, sent, options, std::move(callbacks));
 }
 
-void inbound_proxy::observe_worker(const request& answered, const std::vector<http_header>& headers) {
-    if (answered.worker_id != node_.worker.worker_id) {
-        return;
-    }
-    observe_rate_limit(headers);
-    // Without heartbeats the worker's health endpoint says that it leaves.
-    if (node_.settings.heartbeats && header_value(headers, platform::header::leaving) == "1" &&
-        record_leaving(node_.worker, monotonic_now())) {
-        publish_worker("leaving");
-    }
-}
-
-void inbound_proxy::observe_rate_limit(const std::vector<http_header>& headers) {
-    const std::string stated = header_value(headers, platform::header::rate_limit);
-    const auto limit = platform::decode_rate_limit(stated);
-    if (!stated.empty() && !limit) {
-        node_.log.write(event_id::worker_report_ignored, wall_now(),
-                        {{"worker", node_.worker.worker_id}, {"why", "the rate limit can't be read"}});
-        return;
-    }
-    if (record_stated_limit(node_.worker, limit)) {
-        apply_rate_limit("worker");
-    }
-}
-
-void inbound_proxy::apply_rate_limit(const std::string& source) {
-    const auto& limit = node_.worker.rate_limit;
-    set_rate(admission_.limit, limit, monotonic_now());
-    node_.log.write(event_id::worker_limit_changed, wall_now(),
-                    {{"worker", node_.worker.worker_id},
-                     {"per_s", limit ? std::to_string(*limit) : "none"},
-                     {"source", source}});
-}
-
 void inbound_proxy::on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     request& running = *requests_.at(id);
     observe_worker(running, headers);
