Tests share their loopback sockets, their reader of a store and their questions about processes

The landing wrote again what the tests had: http_test and message_link_test bound loopback sockets of their own beside node/loopback.h, which stands in unittests/ now and serves link and node; three tests of the platform agent built the same node around another store; two of the inbound proxy led up to the same queue; soak.py and test_odd_entries.py read the same signal masks, and soak.py, test_restarts.py and test_limits.py counted the same lines. One piece each now. Assertions, bounds and seeds are as they were.

--- a/unittests/link/http_test.cpp
+++ b/unittests/link/http_test.cpp
@@ -13,22 +13,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "unittests/loopback.h"
+#include "waxwingfall/link/socket_options.h"
+
 using namespace waxwingfall;
 
 namespace {
 
-sockaddr_in unused_loopback_address() {
-    const int probe = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    socklen_t size = sizeof(address);
-    getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-    close(probe);
-    return address;
-}
-
 int socket_option(int socket, int level, int name) {
     int value = 0;
     socklen_t size = sizeof(value);
@@ -59,9 +50,10 @@
 // followed its interim response within 40 ms was delayed by as much (p50 of 42 ms for runs of 2 ms).
 TEST(HttpServer, AcceptedConnectionsSendSmallSegmentsAtOnce) {
     event_loop loop;
-    const sockaddr_in address = unused_loopback_address();
+    const ip_address server_address = test::unused_address();
+    const sockaddr_in address = socket_address(server_address);
     int no_delay = 0;
-    const http_server server(loop, {"127.0.0.1", ntohs(address.sin_port)}, [&](evhttp_request* request) {
+    const http_server server(loop, server_address, [&](evhttp_request* request) {
         const auto socket =
             bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)));
         socklen_t size = sizeof(no_delay);
@@ -80,8 +72,7 @@
 // Guards against a late configuration: a watch whose connection went silent was noticed after 3 s only.
 TEST(HttpClient, SilentConnectionIsNoticedWithinTwoSeconds) {
     event_loop loop;
-    const sockaddr_in address = unused_loopback_address();
-    const ip_address server_address{"127.0.0.1", ntohs(address.sin_port)};
+    const ip_address server_address = test::unused_address();
     constexpr int limit_s = 2;
     constexpr int ms_per_s = 1000;
     bool is_checked = false;
@@ -112,15 +103,9 @@
 public:
     scripted_server(const event_loop& loop, std::string bytes, milliseconds byte_period)
         : bytes_(std::move(bytes)) {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-        listen(listener_, 1);
-        socklen_t size = sizeof(address);
-        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-        address_ = {"127.0.0.1", ntohs(address.sin_port)};
+        const auto [listener, port] = test::listen_on_loopback();
+        listener_ = listener;
+        address_ = {"127.0.0.1", port};
         accept_ = loop_event::on_readable(loop, listener_, [this, &loop, byte_period] {
             client_ = accept(listener_, nullptr, nullptr);
             writes_ = loop_event::every(loop, byte_period, [this] { write_byte(); });
@@ -206,20 +191,15 @@
 
 TEST(HttpClient, ConnectionThatIsNotAcceptedInTimeIsReportedAsNotConnected) {
     event_loop loop;
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    listen(listener, 0);
-    socklen_t size = sizeof(address);
-    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    const auto [listener, port] = test::listen_on_loopback(0);
+    const ip_address server_address{"127.0.0.1", port};
+    const sockaddr_in address = socket_address(server_address);
     std::vector<int> queued;
     for (int count = 0; count < 3; ++count) {
         queued.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
         connect(queued.back(), reinterpret_cast<const sockaddr*>(&address), sizeof(address));
     }
-    const timed_exchange waiting(loop, {"127.0.0.1", ntohs(address.sin_port)}, milliseconds(200));
+    const timed_exchange waiting(loop, server_address, milliseconds(200));
     loop.run_for(milliseconds(500));
     ASSERT_TRUE(waiting.ended);
     EXPECT_EQ(waiting.delivery, http_response::delivery::not_connected);
--- a/unittests/link/message_link_test.cpp
+++ b/unittests/link/message_link_test.cpp
@@ -2,34 +2,17 @@
 
 #include <string>
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-using namespace waxwingfall;
-
-namespace {
+#include "unittests/loopback.h"
 
-std::string unused_address() {
-    const int probe = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    socklen_t size = sizeof(address);
-    getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
-    close(probe);
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
-} // namespace
+using namespace waxwingfall;
 
 // Guards against a node that ends because a peer or the store names a text that is no address.
 TEST(MessageLink, FrameForATextThatIsNoAddressIsCountedAndNotSent) {
     event_loop loop;
-    message_link link(loop, unused_address(), {}, [](const wire::frame&) {});
+    message_link link(loop, to_string(test::unused_address()), {}, [](const wire::frame&) {});
     wire::frame frame;
     frame.mutable_ping()->set_sequence(1);
     std::uint64_t unaddressed = 0;
@@ -45,7 +28,7 @@
 
 RC_GTEST_PROP(MessageLink, ArbitraryAddressesNeverThrow, (const std::string& text)) {
     static event_loop loop;
-    static message_link link(loop, unused_address(), {}, [](const wire::frame&) {});
+    static message_link link(loop, to_string(test::unused_address()), {}, [](const wire::frame&) {});
     wire::frame frame;
     frame.mutable_ping()->set_sequence(1);
     link.send(text, frame);
--- a/unittests/node/loopback.h
+++ b/unittests/loopback.h
@@ -1,5 +1,5 @@
-#ifndef WAXWINGFALL_UNITTESTS_NODE_LOOPBACK_H
-#define WAXWINGFALL_UNITTESTS_NODE_LOOPBACK_H
+#ifndef WAXWINGFALL_UNITTESTS_LOOPBACK_H
+#define WAXWINGFALL_UNITTESTS_LOOPBACK_H
 
 #include <cstdint>
 #include <utility>
@@ -12,14 +12,14 @@
 
 namespace waxwingfall::test {
 
-/// Returns a listening loopback socket and its port.
-inline std::pair<int, std::uint16_t> listen_on_loopback() {
+/// Returns a listening loopback socket, which accepts one connection more than `backlog`, and its port.
+inline std::pair<int, std::uint16_t> listen_on_loopback(int backlog = 16) {
     const int listener = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-    listen(listener, 16);
+    listen(listener, backlog);
     socklen_t size = sizeof(address);
     getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
     return {listener, ntohs(address.sin_port)};
--- a/unittests/node/inbound_proxy_test.cpp
+++ b/unittests/node/inbound_proxy_test.cpp
@@ -8,7 +8,7 @@
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 
-#include "loopback.h"
+#include "unittests/loopback.h"
 #include "waxwingfall/link/http.h"
 
 using namespace waxwingfall;
@@ -187,42 +187,46 @@
     }
 }
 
+namespace {
+
+/// A proxy whose worker has one slot and runs a request, while another one waits.
+struct occupied_proxy {
+    occupied_proxy() : worker(proxy) {
+        proxy.report_worker("two", "s", 2, 1);
+        proxy.send("s", first);
+        proxy.send("s", second);
+        proxy.wait(milliseconds(100));
+    }
+    tested_proxy proxy;
+    slow_worker worker;
+    int first = 0;  ///< status of the response to the request that runs
+    int second = 0; ///< and to the one that waits
+};
+
+} // namespace
+
 // Guards against requests that waited for a silent worker and were run by the worker of another service that
 // got its address.
 TEST(InboundProxy, WaitingRequestIsNotRunByAWorkerOfAnotherService) {
-    tested_proxy proxy;
-    slow_worker worker(proxy);
-    proxy.report_worker("two", "s", 2, 1);
-    int first = 0;
-    int second = 0;
-    proxy.send("s", first);
-    proxy.send("s", second);
-    proxy.wait(milliseconds(100));
-    ASSERT_EQ(worker.open(), 1U);
-    proxy.report_worker("three", "t", 3, 1);
-    proxy.wait(milliseconds(100));
-    EXPECT_EQ(second, 503);
-    worker.respond_to_all();
-    proxy.wait(milliseconds(100));
-    EXPECT_EQ(first, 200);
-    EXPECT_EQ(worker.open(), 0U);
+    occupied_proxy node;
+    ASSERT_EQ(node.worker.open(), 1U);
+    node.proxy.report_worker("three", "t", 3, 1);
+    node.proxy.wait(milliseconds(100));
+    EXPECT_EQ(node.second, 503);
+    node.worker.respond_to_all();
+    node.proxy.wait(milliseconds(100));
+    EXPECT_EQ(node.first, 200);
+    EXPECT_EQ(node.worker.open(), 0U);
 }
 
 TEST(InboundProxy, WaitingRequestIsRunByASuccessorOfItsService) {
-    tested_proxy proxy;
-    slow_worker worker(proxy);
-    proxy.report_worker("two", "s", 2, 1);
-    int first = 0;
-    int second = 0;
-    proxy.send("s", first);
-    proxy.send("s", second);
-    proxy.wait(milliseconds(100));
-    proxy.report_worker("three", "s", 3, 1);
-    worker.respond_to_all();
-    proxy.wait(milliseconds(100));
-    worker.respond_to_all();
-    proxy.wait(milliseconds(100));
-    EXPECT_EQ(second, 200);
+    occupied_proxy node;
+    node.proxy.report_worker("three", "s", 3, 1);
+    node.worker.respond_to_all();
+    node.proxy.wait(milliseconds(100));
+    node.worker.respond_to_all();
+    node.proxy.wait(milliseconds(100));
+    EXPECT_EQ(node.second, 200);
 }
 
 // Guards against a leave that the peers of a node forget when it is killed twice in a row.
--- a/unittests/node/leave_records_test.cpp
+++ b/unittests/node/leave_records_test.cpp
@@ -6,8 +6,8 @@
 
 #include <gtest/gtest.h>
 
-#include "loopback.h"
 #include "platform/json_fields.h"
+#include "unittests/loopback.h"
 #include "waxwingfall/link/http.h"
 
 using namespace waxwingfall;
--- a/unittests/node/platform_agent_test.cpp
+++ b/unittests/node/platform_agent_test.cpp
@@ -3,12 +3,13 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
 
-#include "loopback.h"
 #include "platform/json_fields.h"
+#include "unittests/loopback.h"
 #include "waxwingfall/link/http.h"
 
 using namespace waxwingfall;
@@ -146,13 +147,25 @@
     http_server server_;
 };
 
-/// An agent that reads the operator's key from a store that never responds to watches.
-class tested_reader {
+node_settings bridge_settings(const ip_address& store) {
+    node_settings settings;
+    settings.name = "reader";
+    settings.data_centre = "d";
+    settings.environment = "e";
+    settings.platform = store;
+    return settings;
+}
+
+/// A node's agent that ticks, and the store that it reads.
+template <typename Store> class tested_reader {
 public:
-    tested_reader()
-        : store_(loop_, address_), settings_(make_settings(address_)), log_("reader", "/dev/null"),
+    template <typename... Arguments>
+    explicit tested_reader(configuration_source source, Arguments&&... store_arguments)
+        : store_(loop_, address_, std::forward<Arguments>(store_arguments)...),
+          settings_(bridge_settings(address_)), log_("reader", "/dev/null"),
           context_(loop_, settings_, log_, 1), agent_(context_, [](const control_plane_effects&) {}),
           ticks_(loop_event::every(loop_, milliseconds(10), [this] { agent_.tick(monotonic_now()); })) {
+        settings_.source = source;
         context_.control.nodes.joined = true;
     }
 
@@ -176,24 +189,15 @@
     /// As if a peer had sent a newer version.
     void hold_version(std::uint64_t version) { context_.control.contracts.held.id.version = version; }
 
+    std::uint64_t held_version() const { return context_.control.contracts.held.id.version; }
     membership& nodes() { return context_.control.nodes; }
-    const silent_watch_store& store() const { return store_; }
+    const Store& store() const { return store_; }
     void wait(milliseconds time) { loop_.run_for(time); }
 
 private:
-    static node_settings make_settings(const ip_address& store) {
-        node_settings settings;
-        settings.name = "reader";
-        settings.data_centre = "d";
-        settings.environment = "e";
-        settings.platform = store;
-        settings.source = configuration_source::operator_key;
-        return settings;
-    }
-
     event_loop loop_;
     ip_address address_ = test::unused_address();
-    silent_watch_store store_;
+    Store store_;
     node_settings settings_;
     event_log log_;
     node_context context_;
@@ -202,15 +206,6 @@
     int added_ = 0;
 };
 
-node_settings bridge_settings(const ip_address& store) {
-    node_settings settings;
-    settings.name = "reader";
-    settings.data_centre = "d";
-    settings.environment = "e";
-    settings.platform = store;
-    return settings;
-}
-
 } // namespace
 
 // Guards against a missed version. When a bridge started its next watch only at its next tick, up to 50 ms
@@ -232,26 +227,16 @@
 
 // Guards against a late configuration: every node paused after its watch broke, while versions appeared.
 TEST(PlatformAgent, BrokenWatchIsFollowedByAReadOfTheCurrentValueImmediately) {
-    event_loop loop;
-    const ip_address address = test::unused_address();
-    const breaking_watch_store store(loop, address);
-    node_settings settings = bridge_settings(address);
-    settings.source = configuration_source::operator_key;
-    event_log log("reader", "/dev/null");
-    node_context context(loop, settings, log, 1);
-    context.control.nodes.joined = true;
-    platform_agent agent(context, [](const control_plane_effects&) {});
-    const loop_event ticks =
-        loop_event::every(loop, milliseconds(10), [&agent] { agent.tick(monotonic_now()); });
-    loop.run_for(milliseconds(2000));
-    ASSERT_TRUE(store.pause());
-    EXPECT_LT(*store.pause(), milliseconds(100));
-    EXPECT_TRUE(store.next_reads_current());
+    tested_reader<breaking_watch_store> reader(configuration_source::operator_key);
+    reader.wait(milliseconds(2000));
+    ASSERT_TRUE(reader.store().pause());
+    EXPECT_LT(*reader.store().pause(), milliseconds(100));
+    EXPECT_TRUE(reader.store().next_reads_current());
 }
 
 // Guards against a late configuration: a bridge whose watch the store never answered read again after 33 s.
 TEST(PlatformAgent, BridgeReadsAgainAfterAWatchWithoutAResponse) {
-    tested_reader reader;
+    tested_reader<silent_watch_store> reader(configuration_source::operator_key);
     reader.wait(milliseconds(4000));
     ASSERT_FALSE(reader.store().watches().empty());
     ASSERT_GE(reader.store().reads().size(), 2U);
@@ -261,7 +246,7 @@
 
 // Guards against a late configuration: followers depended on their bridges alone for up to 33 s.
 TEST(PlatformAgent, FollowerReadsAgainIfItsWatchMissedAVersionOfItsPeers) {
-    tested_reader reader;
+    tested_reader<silent_watch_store> reader(configuration_source::operator_key);
     reader.set_peers(member_state::alive, 1);
     reader.wait(milliseconds(2500));
     ASSERT_EQ(reader.store().watches().size(), 1U);
@@ -273,7 +258,7 @@
 
 // Guards against a late configuration after the loss of the bridges: their successors kept a long watch open.
 TEST(PlatformAgent, NodeThatBecomesABridgeReplacesItsLongWatch) {
-    tested_reader reader;
+    tested_reader<silent_watch_store> reader(configuration_source::operator_key);
     reader.set_peers(member_state::alive, 1);
     reader.wait(milliseconds(3500));
     ASSERT_EQ(reader.store().reads().size(), 1U);
@@ -284,35 +269,18 @@
 
 // Guards against a store under load that is never heard: each read is given up before its response comes.
 TEST(PlatformAgent, ResponseThatComesLateIsStillUsed) {
-    event_loop loop;
-    const ip_address address = test::unused_address();
-    const late_store store(loop, address);
-    node_settings settings = bridge_settings(address);
-    settings.source = configuration_source::operator_key;
-    event_log log("reader", "/dev/null");
-    node_context context(loop, settings, log, 1);
-    context.control.nodes.joined = true;
-    platform_agent agent(context, [](const control_plane_effects&) {});
-    const loop_event ticks =
-        loop_event::every(loop, milliseconds(10), [&agent] { agent.tick(monotonic_now()); });
-    loop.run_for(milliseconds(2500));
-    EXPECT_EQ(context.control.contracts.held.id.version, 7U);
+    tested_reader<late_store> reader(configuration_source::operator_key);
+    reader.wait(milliseconds(2500));
+    EXPECT_EQ(reader.held_version(), 7U);
 }
 
 // Guards against an entry of another writer that ends each node that lists the seeds.
 TEST(PlatformAgent, SeedsThatAreNoAddressesAreIgnoredAndTheOthersHold) {
-    event_loop loop;
-    const ip_address address = test::unused_address();
-    const odd_seed_store store(loop, address,
-                               {R"({"addr":7})", "", "127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:-1",
-                                "127.0.0.1:7391", "\xff\xfe", std::string(1000, '['),
-                                std::string("a\0b", 3)});
-    const node_settings settings = bridge_settings(address);
-    event_log log("reader", "/dev/null");
-    node_context context(loop, settings, log, 1);
-    platform_agent agent(context, [](const control_plane_effects&) {});
-    const loop_event ticks =
-        loop_event::every(loop, milliseconds(10), [&agent] { agent.tick(monotonic_now()); });
-    loop.run_for(milliseconds(800));
-    EXPECT_EQ(context.control.nodes.contacts, std::vector<std::string>{"127.0.0.1:7391"});
+    const std::vector<std::string> seeds{
+        R"({"addr":7})",  "",         "127.0.0.1:99999",      "127.0.0.1:0",         "127.0.0.1:-1",
+        "127.0.0.1:7391", "\xff\xfe", std::string(1000, '['), std::string("a\0b", 3)};
+    tested_reader<odd_seed_store> reader(configuration_source::environment_head, seeds);
+    reader.nodes().joined = false;
+    reader.wait(milliseconds(800));
+    EXPECT_EQ(reader.nodes().contacts, std::vector<std::string>{"127.0.0.1:7391"});
 }
--- a/unittests/node/upstream_test.cpp
+++ b/unittests/node/upstream_test.cpp
@@ -7,7 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "loopback.h"
+#include "unittests/loopback.h"
 #include "waxwingfall/node/upstream.h"
 
 using namespace waxwingfall;
--- a/unittests/processes/test_limits.py
+++ b/unittests/processes/test_limits.py
@@ -26,8 +26,7 @@
         """Appends (time, requests that the node's worker has started so far) every 50 ms."""
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            text = node.run_log.read_text()
-            samples.append((time.monotonic(), sum(line.endswith(" started") for line in text.splitlines())))
+            samples.append((time.monotonic(), node.runs_started()))
             time.sleep(0.05)
 
     def most_in_a_window(self, samples, since):
--- a/unittests/processes/test_odd_entries.py
+++ b/unittests/processes/test_odd_entries.py
@@ -51,20 +51,13 @@
         report = finish_load(load)[1]
         self.assertEqual(report["answered"], report["asked"], report)
 
-    @staticmethod
-    def has_signal(pid, field):
-        """True if SIGHUP is in a signal set of the process: SigIgn (ignored) or SigCgt (handled)."""
-        status = pathlib.Path(f"/proc/{pid}/status").read_text()
-        mask = next(line.split()[1] for line in status.splitlines() if line.startswith(field))
-        return int(mask, 16) >> (signal.SIGHUP - 1) & 1 == 1
-
     def test_reload_signal_that_comes_before_its_handler_is_set_ends_no_node(self):
         node = self.mesh.by_name("riga-c-rez-2")
         node.process.kill()
         node.start(with_worker=False)
-        pid, was_ignored = node.process.popen.pid, False
-        while not self.has_signal(pid, "SigCgt"):
-            if not was_ignored and self.has_signal(pid, "SigIgn"):
+        was_ignored = False
+        while not node.process.has_signal(signal.SIGHUP, "SigCgt"):
+            if not was_ignored and node.process.has_signal(signal.SIGHUP, "SigIgn"):
                 was_ignored = True
                 node.process.signal(signal.SIGHUP)
         self.assertTrue(was_ignored)
--- a/unittests/processes/test_restarts.py
+++ b/unittests/processes/test_restarts.py
@@ -28,16 +28,13 @@
         self.mesh.wait_members(self.mesh.nodes, 9, 30)
         self.mesh.wait_version(self.mesh.nodes, 1, 10)
 
-    def started(self, node):
-        return sum(line.endswith(" started") for line in node.run_log.read_text().splitlines())
-
     def runs_under_load(self, node):
         """Sends requests through the other nodes and returns how many of them the node's worker has started."""
-        before = self.started(node)
+        before = node.runs_started()
         others = [other for other in self.mesh.nodes if other is not node]
         report = finish_load(self.mesh.start_load(others, rate=100, seconds=3, post_share=0, get_path="/vietas"))[1]
         self.assertEqual(report["answered"], report["asked"], report)
-        return self.started(node) - before
+        return node.runs_started() - before
 
     def leave_and_restart(self, name, restarted, times, late):
         node = self.mesh.by_name(name)
--- a/utils/mesh.py
+++ b/utils/mesh.py
@@ -98,6 +98,12 @@
     def alive(self):
         return self.popen is not None and self.popen.poll() is None
 
+    def has_signal(self, number, *fields):
+        """Returns whether a signal is in one of the given sets of /proc/PID/status: SigIgn (ignored), SigCgt (handled)."""
+        lines = pathlib.Path(f"/proc/{self.popen.pid}/status").read_text().splitlines()
+        masks = [int(line.split()[1], 16) for line in lines if line.startswith(fields)]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
 
 class Node:
     """A node and its stand-in worker."""
@@ -169,6 +175,10 @@
         content = json.dumps(body if call == "heartbeat" else {"born": born}).encode()
         return http(self.heartbeats, f"/instances/{worker}/{call}", "POST", content)[0] == 200
 
+    def runs_started(self):
+        """Returns how many requests the stand-in worker has started."""
+        return sum(line.endswith(" started") for line in self.run_log.read_text().splitlines())
+
     def status(self):
         return json.loads(http(self.admin, "/status")[2])
 
--- a/utils/soak.py
+++ b/utils/soak.py
@@ -12,7 +12,6 @@
 import argparse
 import base64
 import json
-import pathlib
 import random
 import shutil
 import signal
@@ -146,10 +145,6 @@
                     self.sequence[node.name] += 1
                     self.report(node, "heartbeat", self.born[node.name], self.sequence[node.name])
 
-    @staticmethod
-    def started(node):
-        return sum(line.endswith(" started") for line in node.run_log.read_text().splitlines())
-
     def leave(self, node, late_s):
         """Lets the node's worker leave; a heartbeat from before arrives `late_s` later. Returns a function that starts the
         next worker at its address."""
@@ -177,20 +172,13 @@
             self.report(node, "heartbeat", born, sequence)
         if is_over.wait(max(0.0, acknowledged + DRAIN_S - time.monotonic())):
             return
-        before = self.started(node)
+        before = node.runs_started()
         is_over.wait()
-        later = self.started(node) - before
+        later = node.runs_started() - before
         if later > 0:
             self.violations.append(f"{later} requests reached the worker of {node.name} over {DRAIN_S} s after its leave")
 
 
-def handles_reload(process):
-    """True if SIGHUP does not end the process."""
-    lines = pathlib.Path(f"/proc/{process.popen.pid}/status").read_text().splitlines()
-    masks = [int(line.split()[1], 16) for line in lines if line.startswith(("SigIgn:", "SigCgt:"))]
-    return any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks)
-
-
 class FaultInjector:
     """Executes a plan of faults: starts each fault and ends it after its length."""
 
@@ -216,7 +204,7 @@
             process = node.process if target == "node" else node.worker
             if action == "reload":
                 # Before main runs, no program can keep the signal from ending its process.
-                if handles_reload(process):
+                if process.has_signal(signal.SIGHUP, "SigIgn", "SigCgt"):
                     process.signal(signal.SIGHUP)
                 return release
             if action == "pause":
