Ignored records of nodes are a metric; the longest name of a worker is stated once

The landing counted records with an incarnation that no node could refute, where nobody could read the count: `implausible_records_total`. heartbeat_wire and left_worker held the same limit on a worker's id under two names.

--- a/include/waxwingfall/contract/worker_report.h
+++ b/include/waxwingfall/contract/worker_report.h
@@ -2,6 +2,7 @@
 #define WAXWINGFALL_CONTRACT_WORKER_REPORT_H
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -9,6 +10,9 @@
 
 namespace waxwingfall {
 
+/// Longest id of a worker, and longest name of its service or data centre.
+inline constexpr std::size_t max_worker_name_bytes = 256;
+
 /// Whether a worker accepts requests, as reported by itself.
 enum class worker_state : std::uint8_t {
     ready,
--- a/lib/node/admin.cpp
+++ b/lib/node/admin.cpp
@@ -139,6 +139,7 @@
     add("control_frames_dropped_total", link.frames_dropped);
     add("control_frames_refused_total", link.frames_refused);
     add("control_frames_unaddressed_total", link.frames_unaddressed);
+    add("implausible_records_total", node_.control.nodes.implausible_records);
     add("control_peers", node_.link->open_peers());
     add("ledger_records", node_.records.record_count);
     add("ledger_answer_bytes", node_.records.response_bytes);
--- a/lib/node/metrics.cpp
+++ b/lib/node/metrics.cpp
@@ -50,6 +50,8 @@
     metric_descriptor{"control_frames_refused_total", "counter", "", "messages that did not parse"},
     metric_descriptor{"control_frames_unaddressed_total", "counter", "",
                       "messages not sent, as their address could not be read"},
+    metric_descriptor{"implausible_records_total", "counter", "",
+                      "records of nodes that were ignored, as no node could refute them"},
     metric_descriptor{"control_peers", "gauge", "", "open sockets to other nodes"},
     metric_descriptor{"ledger_records", "gauge", "", "idempotency keys recorded here"},
     metric_descriptor{"ledger_answer_bytes", "gauge", "", "bytes of answers kept for them"},
--- a/lib/store/left_worker.cpp
+++ b/lib/store/left_worker.cpp
@@ -1,15 +1,10 @@
 #include "waxwingfall/store/left_worker.h"
 
+#include "waxwingfall/contract/worker_report.h"
 #include "waxwingfall/wire/wire.pb.h"
 
 namespace waxwingfall {
 
-namespace {
-
-constexpr std::size_t max_worker_id_bytes = 256;
-
-} // namespace
-
 std::string left_worker_key(const std::string& environment, const std::string& node) {
     return "left/" + environment + "/" + node;
 }
@@ -24,7 +19,7 @@
 std::optional<left_worker> decode_left_worker(std::string_view bytes) {
     wire::member record;
     if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
-        record.left_worker().empty() || record.left_worker().size() > max_worker_id_bytes) {
+        record.left_worker().empty() || record.left_worker().size() > max_worker_name_bytes) {
         return std::nullopt;
     }
     return left_worker{record.left_worker(), record.left_worker_start()};
