--- a/unittests/node/leave_records_test.cpp
+++ b/unittests/node/leave_records_test.cpp
@@ -70,12 +70,14 @@
 
     /// Writes a leave. `acknowledged_after` receives the time until its acknowledgement.
     void write(const left_worker& left, std::optional<milliseconds>& acknowledged_after) {
-        records_.write(left, [&acknowledged_after, started = monotonic_now()] {
+        records_.write(left, [this, &acknowledged_after, started = monotonic_now()] {
+            writes_before_acknowledgement_ = store_.writes.size();
             acknowledged_after = milliseconds(elapsed_ms(started, monotonic_now()));
         });
     }
 
     recording_store& store() { return store_; }
+    std::size_t writes_before_acknowledgement() const { return writes_before_acknowledgement_; }
     const std::vector<std::optional<left_worker>>& read() const { return read_; }
     void wait(milliseconds time) { loop_.run_for(time); }
 
@@ -87,6 +89,7 @@
     event_log log_;
     node_context context_;
     std::vector<std::optional<left_worker>> read_;
+    std::size_t writes_before_acknowledgement_ = 0;
     leave_records records_;
     loop_event ticks_;
 };
@@ -103,6 +106,7 @@
         node.wait(milliseconds(1));
     }
     EXPECT_EQ(node.store().writes.size(), 1U);
+    EXPECT_EQ(node.writes_before_acknowledgement(), 1U);
     EXPECT_LT(*acknowledged, milliseconds(300));
 }
 
