--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -26,33 +26,22 @@
 
 
 def render(template, fields):
-    """Fills in the template of the settings: the placeholders and list sections that `deploy/node.yaml.in` uses."""
-    def value_of(path):
+    """Fills in the template of the settings, as far as `deploy/node.yaml.in` uses its language: values by path, and
+    sections over the entries of a table."""
+    def section(match):
+        table = fields[match.group(1)]
+        entries = [match.group(2).replace("{{@}}", name).replace("{{.}}", value) for name, value in table.items()]
+        return "".join(entry.replace("{{,}}", "," if index + 1 < len(entries) else "")
+                       for index, entry in enumerate(entries))
+
+    def value_of(match):
         value = fields
-        for part in path.split("."):
-            value = value[int(part)] if isinstance(value, list) else value.get(part) if value is not None else None
-        return "" if value is None else str(value)
+        for part in match.group(1).split("."):
+            value = value[int(part)] if isinstance(value, list) else value[part]
+        return str(value)
 
-    def section(match):
-        items = fields.get(match.group(1)) or []
-        text = ""
-        for index, item in enumerate(items):
-            entry = match.group(2).replace("{{@}}", str(index)).replace("{{.}}", str(item))
-            text += entry.replace("{{,}}", "," if index + 1 < len(items) else "")
-        return text
-
-    # The bounds are texts `name=value`; as a table, the key of an entry is its name.
-    text = template
-    for name in ("bounds",):
-        match = re.search(r"\{\{#%s\}\}(.*?)\{\{/%s\}\}" % (name, name), text)
-        if match:
-            table = [item.partition("=") for item in fields[name]]
-            entries = [match.group(1).replace("{{@}}", key).replace("{{.}}", value) for key, _, value in table]
-            entries = [entry.replace("{{,}}", "," if index + 1 < len(entries) else "")
-                       for index, entry in enumerate(entries)]
-            text = text.replace(match.group(0), "".join(entries))
-    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, text)
-    return re.sub(r"\{\{([\w.]+)\}\}", lambda match: value_of(match.group(1)), text)
+    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template)
+    return re.sub(r"\{\{([\w.]+)\}\}", value_of, text)
 
 
 def free_ports(count, hosts):
@@ -116,7 +105,8 @@
                   "listen": {name: self.address(name) for name in ("inbound", "outbound", "ready", "control")},
                   "port_range": [self.deployment.ports["first"], self.deployment.ports["second"]],
                   "app": self.address("app"), "service": self.service, "limits": self.limits,
-                  "platform": {"addr": self.deployment.store_address}, "bounds": self.deployment.bounds}
+                  "platform": {"addr": self.deployment.store_address},
+                  "bounds": dict(bound.split("=") for bound in self.deployment.bounds)}
         return render((ROOT / "deploy" / "node.yaml.in").read_text(), fields)
 
     def start_node(self, first=False):
@@ -233,6 +223,8 @@
 
 def run_case(main, folder):
     """Runs `main(record)`, which returns True if the rule held, and exits as the issue asks."""
+    # So that a play that takes too long ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     record.write(f"disruption: {'yes' if TROUBLE else 'no (TROUBLE=0)'}")
     try:
