leaves: acknowledge a worker's leave only once the store holds it

What callers saw: the store is silent for 4.4 s, a worker leaves and is acknowledged, its node is killed and started again, and a late heartbeat of the worker arrives.

Cause: `leave_records::write` acknowledged after 0.4 s whether the record was stored or not. The new process reads the store, finds no leave, and takes the late heartbeat for a current one. Peers are no remedy: they replace the record with the leave by that of the new process, and a kill of all nodes leaves none.

The logs could not tell a leave that was never stored from one that was not read; events 507 and 508 do.

Why the fix works: an acknowledgement follows a successful write, and a process that starts reads the store before it uses a worker, so no process can lack a leave that was acknowledged. A report whose leave is not stored in time gets 503 before its worker gives it up, and is repeated; the worker gets no new requests from its first report on. A repeated report waits for the store as well; it was acknowledged at once, as outdated. Writes expect the revision that was read last, so that one that the store executes late replaces no newer leave.

Replaced: LeaveRecords.StoreWithoutResponseDelaysAnAcknowledgementBriefly asked for an acknowledgement within 0.6 s without a store, which is the fault. LeaveIsNotAcknowledgedWhileTheStoreIsSilent asks for a response within the worker's second, for no acknowledgement, and for one after the write.

Open: a heartbeat that comes over 5 s late to a process that can't read the store counts, as before.

--- a/include/waxwingfall/call/worker_view.h
+++ b/include/waxwingfall/call/worker_view.h
@@ -57,6 +57,11 @@
 /// late its heartbeats arrive.
 void record_leave(worker_view& view, const std::string& worker_id, std::uint64_t incarnation);
 
+/// Returns the leave that an acknowledgement of `report` would promise to later processes of this node, or
+/// nothing if there is none: the report is no leave, or it is one of a worker that another has replaced. To
+/// be asked after `update_worker_view`, also about reports that it found outdated, which may repeat a leave.
+std::optional<left_worker> find_leave(const worker_view& view, const worker_report& report);
+
 /// Records that the worker says in a response that it leaves. True if it had not said so before.
 bool record_leaving(worker_view& view, time_point now);
 
--- a/include/waxwingfall/contract/worker_report.h
+++ b/include/waxwingfall/contract/worker_report.h
@@ -35,6 +35,13 @@
     auto operator<=>(const worker_report&) const = default;
 };
 
+/// A worker whose leave a node has acknowledged.
+struct left_worker {
+    std::string worker_id;
+    std::uint64_t incarnation = 0; ///< start time of the worker in Unix milliseconds; 0 if unknown
+    auto operator<=>(const left_worker&) const = default;
+};
+
 } // namespace waxwingfall
 
 #endif
--- a/include/waxwingfall/node/local_ports.h
+++ b/include/waxwingfall/node/local_ports.h
@@ -18,8 +18,8 @@
 /// balancer and the heartbeats of the local worker.
 class local_ports {
 public:
-    /// Makes a leave durable and then calls its second argument.
-    using leave_writer = std::function<void(const left_worker&, std::function<void()>)>;
+    /// Makes a leave durable and calls its second argument with whether that succeeded in time.
+    using leave_writer = std::function<void(const left_worker&, std::function<void(bool is_stored)>)>;
 
     local_ports(node_context& node, inbound_proxy& inbound, leave_writer write_leave);
 
--- a/include/waxwingfall/support/event_log.h
+++ b/include/waxwingfall/support/event_log.h
@@ -50,6 +50,8 @@
     worker_report_ignored = 504,
     worker_limit_changed = 505,
     worker_leave_restored = 506,
+    worker_leave_stored = 507,
+    worker_leave_unacknowledged = 508,
     call_failed = 600,
     request_refused = 601,
     call_placed = 602,
--- a/lib/call/worker_view.cpp
+++ b/lib/call/worker_view.cpp
@@ -116,6 +116,22 @@
     view.leaving = view.leaving || is_current;
 }
 
+std::optional<left_worker> find_leave(const worker_view& view, const worker_report& report) {
+    if (report.state == worker_state::ready) {
+        return std::nullopt;
+    }
+    const bool is_current = report.worker_id == view.worker_id && view.latest_report;
+    if (is_current && view.leaving) {
+        return left_worker{view.worker_id, view.latest_report->incarnation};
+    }
+    const auto restored = view.left_workers.find(report.worker_id);
+    const bool is_replaced = !view.worker_id.empty() && !is_current;
+    if (restored == view.left_workers.end() || is_replaced) {
+        return std::nullopt;
+    }
+    return left_worker{restored->first, restored->second};
+}
+
 bool record_leaving(worker_view& view, time_point now) {
     if (view.leaving) {
         return false;
--- a/lib/node/local_ports.cpp
+++ b/lib/node/local_ports.cpp
@@ -58,16 +58,17 @@
     if (verdict == report_verdict::outdated || verdict == report_verdict::foreign) {
         log_ignored(report->worker_id, verdict == report_verdict::foreign ? "other address" : "outdated");
     }
-    const auto acknowledge = [request] {
-        send_response(request, status_ok, platform::encode_acknowledgement(),
+    const auto respond = [request](bool is_acknowledged) {
+        send_response(request, is_acknowledged ? status_ok : status_unavailable,
+                      is_acknowledged ? platform::encode_acknowledgement() : "{}",
                       {{"Content-Type", "application/json"}});
     };
-    if (verdict != report_verdict::applied || report->state == worker_state::ready) {
-        acknowledge();
-        return;
+    // An acknowledged leave binds all later processes of this node, also if the report repeats it.
+    if (const auto left = find_leave(node_.worker, *report)) {
+        write_leave_(*left, respond);
+    } else {
+        respond(true);
     }
-    // The acknowledgement binds all later processes of this node.
-    write_leave_({node_.worker.worker_id, node_.worker.latest_report->incarnation}, acknowledge);
 }
 
 } // namespace waxwingfall
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -55,8 +55,8 @@
               [this] { return inbound_proxy_.worker_limit(); }, [this] { return platform_.is_reachable(); },
               [this] { return inbound_proxy_.worker_is_healthy(); }}),
       evidence_(context_),
-      local_ports_(context_, inbound_proxy_, [this](const left_worker& left, std::function<void()> done) {
-          leaves_.write(left, std::move(done));
+      local_ports_(context_, inbound_proxy_, [this](const left_worker& left, std::function<void(bool)> respond) {
+          leaves_.write(left, std::move(respond));
       }) {
     const ip_address& control = settings.control;
     context_.link = std::make_unique<message_link>(loop, control.host + ":" + std::to_string(control.port),
--- a/lib/store/left_worker.cpp
+++ b/lib/store/left_worker.cpp
@@ -1,6 +1,5 @@
 #include "waxwingfall/store/left_worker.h"
 
-#include "waxwingfall/contract/worker_report.h"
 #include "waxwingfall/wire/wire.pb.h"
 
 namespace waxwingfall {
--- a/lib/support/event_log.cpp
+++ b/lib/support/event_log.cpp
@@ -67,6 +67,8 @@
     event_row{worker_report_ignored, "worker-report-ignored", "warn", failure_rate},
     event_row{worker_limit_changed, "worker-limit-changed", "info", failure_rate},
     event_row{worker_leave_restored, "worker-leave-restored", "info"},
+    event_row{worker_leave_stored, "worker-leave-stored", "info"},
+    event_row{worker_leave_unacknowledged, "worker-leave-unacknowledged", "warn", failure_rate},
     event_row{call_failed, "call-failed", "warn", failure_rate},
     event_row{request_refused, "request-refused", "info", failure_rate},
     event_row{call_placed, "call-placed", "info", request_rate},
--- a/unittests/call/worker_view_test.cpp
+++ b/unittests/call/worker_view_test.cpp
@@ -223,3 +223,28 @@
         RC_ASSERT((!has_left || !is_certain || !accepts_requests(view)));
     }
 }
+
+// Guards against a repeated leave that is acknowledged as outdated although it is not stored yet.
+TEST(WorkerView, RepeatedLeaveIsFoundLikeTheFirst) {
+    worker_view view = fresh_view();
+    update_worker_view(view, report(100, 4), start);
+    EXPECT_FALSE(find_leave(view, report(100, 4)));
+    EXPECT_EQ(update_worker_view(view, leave(100), start), report_verdict::applied);
+    EXPECT_EQ(find_leave(view, leave(100)), (left_worker{"i-1", 100}));
+    EXPECT_EQ(update_worker_view(view, leave(100), start), report_verdict::outdated);
+    EXPECT_EQ(find_leave(view, leave(100)), (left_worker{"i-1", 100}));
+    EXPECT_FALSE(find_leave(view, report(100, 4)));
+}
+
+TEST(WorkerView, LeaveThatPeersTellIsFoundUntilAnotherWorkerIsThere) {
+    worker_view view = fresh_view();
+    await_leaves(view, start);
+    record_leave(view, "i-1", 100);
+    EXPECT_EQ(update_worker_view(view, leave(100), start), report_verdict::outdated);
+    EXPECT_EQ(find_leave(view, leave(100)), (left_worker{"i-1", 100}));
+    apply_deferred_report(view, start);
+    worker_report next = report(200, 1);
+    next.worker_id = "i-2";
+    update_worker_view(view, next, start);
+    EXPECT_FALSE(find_leave(view, leave(100)));
+}
--- a/unittests/node/leave_records_test.cpp
+++ b/unittests/node/leave_records_test.cpp
@@ -22,7 +22,9 @@
 
     bool silent = false;
     bool refuses = false;
-    std::string item; ///< the response to reads; empty for an absent key
+    bool loses_responses = false; ///< of writes, which take effect
+    int conflicts = 0;            ///< writes that are refused because the revision differs
+    std::string item;             ///< the response to reads; empty for an absent key
     std::vector<std::string> writes;
 
 private:
@@ -37,7 +39,11 @@
             send_response(request, 200, R"({"lease":7,"ttl_time":"600s"})");
         } else if (path == "/kv-txn") {
             writes.push_back(request_body(request));
-            send_response(request, 200, R"({"rev":5})");
+            const bool conflicts_now = conflicts > 0;
+            conflicts -= conflicts_now ? 1 : 0;
+            if (!loses_responses) {
+                send_response(request, conflicts_now ? 412 : 200, conflicts_now ? "{}" : R"({"rev":5})");
+            }
         } else {
             send_response(request, item.empty() ? 404 : 200, item);
         }
@@ -56,6 +62,19 @@
     return settings;
 }
 
+struct report_response {
+    bool is_acknowledged = false;
+    milliseconds after{0};
+};
+
+/// A worker gives a report up after this time.
+constexpr milliseconds worker_patience{1000};
+
+std::string item_of(const left_worker& left) {
+    return R"({"key":"left/e/node","rev":5,"created":5,"lease":7,"value":")" +
+           platform::encode_base64(encode_left_worker(left)) + "\"}";
+}
+
 /// The records of a node that has just started.
 class tested_records {
 public:
@@ -68,11 +87,11 @@
                                                         }),
           ticks_(loop_event::every(loop_, milliseconds(20), [this] { records_.tick(monotonic_now()); })) {}
 
-    /// Writes a leave. `acknowledged_after` receives the time until its acknowledgement.
-    void write(const left_worker& left, std::optional<milliseconds>& acknowledged_after) {
-        records_.write(left, [this, &acknowledged_after, started = monotonic_now()] {
+    /// Writes a leave. `response` receives how and when its report is answered.
+    void write(const left_worker& left, std::optional<report_response>& response) {
+        records_.write(left, [this, &response, started = monotonic_now()](bool is_stored) {
             writes_before_acknowledgement_ = store_.writes.size();
-            acknowledged_after = milliseconds(elapsed_ms(started, monotonic_now()));
+            response = {is_stored, milliseconds(elapsed_ms(started, monotonic_now()))};
         });
     }
 
@@ -99,32 +118,61 @@
 // Guards against a leave that the kill of all nodes right after its acknowledgement undoes.
 TEST(LeaveRecords, LeaveIsStoredBeforeItIsAcknowledged) {
     tested_records node;
-    std::optional<milliseconds> acknowledged;
-    node.write({"i-1", 100}, acknowledged);
-    while (!acknowledged) {
+    std::optional<report_response> response;
+    node.write({"i-1", 100}, response);
+    while (!response) {
         EXPECT_TRUE(node.store().writes.empty() || node.store().writes.size() == 1);
         node.wait(milliseconds(1));
     }
+    EXPECT_TRUE(response->is_acknowledged);
     EXPECT_EQ(node.store().writes.size(), 1U);
     EXPECT_EQ(node.writes_before_acknowledgement(), 1U);
-    EXPECT_LT(*acknowledged, milliseconds(300));
+    EXPECT_LT(response->after, milliseconds(300));
 }
 
-TEST(LeaveRecords, StoreWithoutResponseDelaysAnAcknowledgementBriefly) {
+// Guards against a leave that is acknowledged while no later process can learn of it.
+TEST(LeaveRecords, LeaveIsNotAcknowledgedWhileTheStoreIsSilent) {
     tested_records node;
     node.store().silent = true;
-    std::optional<milliseconds> acknowledged;
-    node.write({"i-1", 100}, acknowledged);
-    node.wait(milliseconds(600));
-    ASSERT_TRUE(acknowledged);
-    EXPECT_GE(*acknowledged, milliseconds(350));
+    std::optional<report_response> first;
+    node.write({"i-1", 100}, first);
+    node.wait(worker_patience);
+    ASSERT_TRUE(first);
+    EXPECT_FALSE(first->is_acknowledged);
+    EXPECT_LT(first->after, worker_patience);
+    node.store().silent = false;
+    std::optional<report_response> repeated;
+    constexpr int most_reports = 6;
+    for (int sent = 0; sent < most_reports && !(repeated && repeated->is_acknowledged); ++sent) {
+        node.write({"i-1", 100}, repeated);
+        node.wait(worker_patience);
+        ASSERT_TRUE(repeated);
+    }
+    EXPECT_TRUE(repeated->is_acknowledged);
+    EXPECT_EQ(node.writes_before_acknowledgement(), 1U);
+    EXPECT_EQ(node.store().writes.size(), 1U);
+}
+
+// Guards against an acknowledgement of the repeated report while the first one still waits for the store.
+TEST(LeaveRecords, RepeatedLeaveIsNotAcknowledgedBeforeItIsStored) {
+    tested_records node;
+    node.store().refuses = true;
+    std::optional<report_response> first;
+    node.write({"i-1", 100}, first);
+    node.wait(worker_patience);
+    std::optional<report_response> repeated;
+    node.write({"i-1", 100}, repeated);
+    node.wait(worker_patience);
+    ASSERT_TRUE(first && repeated);
+    EXPECT_FALSE(first->is_acknowledged);
+    EXPECT_FALSE(repeated->is_acknowledged);
 }
 
 TEST(LeaveRecords, WriteThatFailedIsRepeated) {
     tested_records node;
     node.store().refuses = true;
-    std::optional<milliseconds> acknowledged;
-    node.write({"i-1", 100}, acknowledged);
+    std::optional<report_response> response;
+    node.write({"i-1", 100}, response);
     node.wait(milliseconds(500));
     EXPECT_TRUE(node.store().writes.empty());
     node.store().refuses = false;
@@ -134,24 +182,51 @@
 
 TEST(LeaveRecords, LeaveThatIsStoredIsNotWrittenAgain) {
     tested_records node;
-    std::optional<milliseconds> first;
+    std::optional<report_response> first;
     node.write({"i-1", 100}, first);
     node.wait(milliseconds(200));
-    std::optional<milliseconds> second;
+    std::optional<report_response> second;
     node.write({"i-1", 100}, second);
-    EXPECT_TRUE(second);
+    EXPECT_TRUE(second && second->is_acknowledged);
     node.wait(milliseconds(200));
     EXPECT_EQ(node.store().writes.size(), 1U);
 }
 
+TEST(LeaveRecords, WriteWhoseResponseWasLostCountsOnceItIsRead) {
+    tested_records node;
+    node.store().loses_responses = true;
+    std::optional<report_response> response;
+    node.write({"i-1", 100}, response);
+    node.wait(milliseconds(200));
+    ASSERT_EQ(node.store().writes.size(), 1U);
+    node.store().loses_responses = false;
+    node.store().conflicts = 1;
+    node.store().item = item_of({"i-1", 100});
+    node.wait(milliseconds(4000));
+    EXPECT_EQ(node.store().writes.size(), 2U);
+    node.write({"i-1", 100}, response);
+    EXPECT_TRUE(response && response->is_acknowledged);
+}
+
+// Guards against a write that the store executes late and that replaces the leave of a later worker.
+TEST(LeaveRecords, WriteExpectsTheRevisionThatWasReadLast) {
+    tested_records node;
+    node.store().conflicts = 1;
+    node.store().item = item_of({"i-0", 50});
+    std::optional<report_response> response;
+    node.write({"i-1", 100}, response);
+    node.wait(milliseconds(500));
+    ASSERT_EQ(node.store().writes.size(), 2U);
+    EXPECT_NE(node.store().writes.back().find(R"("rev":5)"), std::string::npos);
+    EXPECT_TRUE(response && response->is_acknowledged);
+}
+
 TEST(LeaveRecords, NewProcessReadsTheLeaveOfAnEarlierOneUntilTheStoreResponds) {
     tested_records node;
     node.store().refuses = true;
     node.wait(milliseconds(200));
     EXPECT_TRUE(node.read().empty());
-    node.store().item = R"({"key":"left/e/node","rev":5,"created":5,"lease":7,"value":"VALUE"})";
-    const std::string value = platform::encode_base64(encode_left_worker({"i-1", 100}));
-    node.store().item.replace(node.store().item.find("VALUE"), 5, value);
+    node.store().item = item_of({"i-1", 100});
     node.store().refuses = false;
     node.wait(milliseconds(800));
     ASSERT_EQ(node.read().size(), 1U);
