contract: tell an empty table of customers from none

Operators who lock everybody out opened the system.

Cause: `contract::customers` was a list, and an empty one stood for a table without rows, under which no key is valid, as well as for no table, under which none is needed.

Why the fix works: the list is optional, so that every reader has to distinguish the two, and a property over all pairs of no table, an empty one, one and two customers holds each encoding to it. `empty_customers` is set for an empty table only: bytes and digests of all other contracts stay as they were, and nodes of an older release refuse such a contract in place of admitting everybody.

Routes, services, splits, caps and limits were read: no other emptiness stands for a rule that is absent.

test_without_customers_nothing_changes passed an empty map for a document without customers; it passes None now, and the empty map has a test of its own.

--- a/include/waxwingfall/call/credentials.h
+++ b/include/waxwingfall/call/credentials.h
@@ -32,6 +32,7 @@
         std::optional<std::uint32_t> priority; ///< replaces that of the route
         auto operator<=>(const customer&) const = default;
     };
+    bool requires_keys = false; ///< the contract has a table of customers, be it empty
     std::vector<customer> customers;
     /// Positions in `customers`.
     std::unordered_map<key_digest, std::uint32_t, key_digest_hash> customers_by_key;
@@ -51,9 +52,9 @@
     auto operator<=>(const authorization&) const = default;
 };
 
-/// Decides whether a request may run and on behalf of which customer. Without customers in the contract every
-/// request may run on behalf of none. `presented` is the digest of the request's key, if it has one;
-/// `is_nested` tells that a local worker sent it on behalf of a request that it runs.
+/// Decides whether a request may run and on behalf of which customer. Without a table of customers in the
+/// contract every request may run on behalf of none. `presented` is the digest of the request's key, if it
+/// has one; `is_nested` tells that a local worker sent it on behalf of a request that it runs.
 authorization authorize(const credential_index& index, const route_contract& route,
                         const std::optional<key_digest>& presented, bool is_nested);
 
--- a/include/waxwingfall/contract/document.h
+++ b/include/waxwingfall/contract/document.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -89,7 +90,9 @@
     std::vector<service_contract> services;
     std::vector<route_contract> routes;
     client_limits limits;
-    std::vector<customer_contract> customers; ///< if there are any, requests need the key of one of them
+    /// If there is a table, requests need the key of one of its customers, and with an empty one no key is
+    /// valid. Without a table requests need no key.
+    std::optional<std::vector<customer_contract>> customers;
     auto operator<=>(const contract&) const = default;
 };
 
@@ -102,6 +105,9 @@
 /// there is none.
 std::string first_violation(const contract& content);
 
+/// Returns the customers of a contract; none also if it has no table of customers.
+std::span<const customer_contract> customers_of(const contract& content);
+
 /// Returns the name of `kind` in documents and difference listings, for example "non_idempotent".
 std::string kind_name(request_kind kind);
 
--- a/include/waxwingfall/proxy/customer_headers.h
+++ b/include/waxwingfall/proxy/customer_headers.h
@@ -25,9 +25,9 @@
 };
 
 /// Decides about the key of a client's request under the contract that the node enforces. If that contract
-/// has customers, removes the `Authorization` header, remembers its key as a digest in `credentials`, and
-/// replaces `X-Tenant` by the name of the customer, or removes it. Returns the refusal, if there is one. May
-/// be called again under a newer contract.
+/// has a table of customers, removes the `Authorization` header, remembers its key as a digest in
+/// `credentials`, and replaces `X-Tenant` by the name of the customer, or removes it. Returns the refusal, if
+/// there is one. May be called again under a newer contract.
 std::optional<error_kind> authorize_request(const node_context& node, const route_contract& route,
                                             std::vector<http_header>& headers,
                                             request_credentials& credentials);
--- a/lib/call/credentials.cpp
+++ b/lib/call/credentials.cpp
@@ -35,13 +35,15 @@
 
 credential_index make_credential_index(const contract& content) {
     credential_index index;
+    index.requires_keys = content.customers.has_value();
+    const auto customers = customers_of(content);
     std::size_t keys = 0;
-    for (const customer_contract& customer : content.customers) {
+    for (const customer_contract& customer : customers) {
         keys += customer.key_digests.size();
     }
-    index.customers.reserve(content.customers.size());
+    index.customers.reserve(customers.size());
     index.customers_by_key.reserve(keys);
-    for (const customer_contract& customer : content.customers) {
+    for (const customer_contract& customer : customers) {
         const auto position = static_cast<std::uint32_t>(index.customers.size());
         index.customers.push_back({customer.name, customer.priority});
         for (const std::string& digest : customer.key_digests) {
@@ -52,7 +54,7 @@
 }
 
 bool requires_keys(const credential_index& index) {
-    return !index.customers.empty();
+    return index.requires_keys;
 }
 
 authorization authorize(const credential_index& index, const route_contract& route,
--- a/lib/contract/document.cpp
+++ b/lib/contract/document.cpp
@@ -198,8 +198,9 @@
         reader.report(error_kind::wrong_type, *customers,
                       "'customers' must be a map from names to customers");
     } else if (customers != nullptr) {
+        auto& table = parsed.content.customers.emplace();
         for (const yaml_entry& entry : customers->entries) {
-            parsed.content.customers.push_back(read_customer(reader, entry));
+            table.push_back(read_customer(reader, entry));
             parsed.customer_locations.push_back({file, entry.line, entry.column});
         }
     }
@@ -266,7 +267,9 @@
     }
     std::sort(parsed.content.services.begin(), parsed.content.services.end());
     std::sort(parsed.content.routes.begin(), parsed.content.routes.end());
-    std::sort(parsed.content.customers.begin(), parsed.content.customers.end());
+    if (parsed.content.customers) {
+        std::sort(parsed.content.customers->begin(), parsed.content.customers->end());
+    }
     return std::move(parsed.content);
 }
 
--- a/lib/contract/rules.cpp
+++ b/lib/contract/rules.cpp
@@ -182,8 +182,9 @@
 
 void check_customers(const contract& content, std::vector<violation>& violations) {
     std::set<std::string_view> digests;
-    for (std::size_t index = 0; index < content.customers.size(); ++index) {
-        const customer_contract& customer = content.customers[index];
+    const auto customers = customers_of(content);
+    for (std::size_t index = 0; index < customers.size(); ++index) {
+        const customer_contract& customer = customers[index];
         const auto add = [&](error_kind kind, const std::string& message) {
             violations.push_back({violation::subject_kind::customer, index, kind, message});
         };
@@ -246,14 +247,19 @@
     const auto is_misplaced_customer = [](const customer_contract& left, const customer_contract& right) {
         return left.name >= right.name;
     };
-    if (std::adjacent_find(content.customers.begin(), content.customers.end(), is_misplaced_customer) !=
-        content.customers.end()) {
+    const auto customers = customers_of(content);
+    if (std::adjacent_find(customers.begin(), customers.end(), is_misplaced_customer) != customers.end()) {
         return "customers are not sorted by name, or a name is used twice";
     }
     const auto violations = find_violations(content);
     return violations.empty() ? std::string() : violations.front().message;
 }
 
+std::span<const customer_contract> customers_of(const contract& content) {
+    return content.customers ? std::span<const customer_contract>(*content.customers)
+                             : std::span<const customer_contract>();
+}
+
 std::string kind_name(request_kind kind) {
     switch (kind) {
     case request_kind::by_method:
--- a/lib/contract/snapshot.cpp
+++ b/lib/contract/snapshot.cpp
@@ -111,6 +111,17 @@
     return customer;
 }
 
+/// Returns the table of customers, or nothing if there is none; `is_empty_table` distinguishes these where
+/// there are no customers.
+std::optional<std::vector<customer_contract>> make_table(std::vector<customer_contract> customers,
+                                                         bool is_empty_table) {
+    return customers.empty() && !is_empty_table ? std::nullopt : std::optional(std::move(customers));
+}
+
+bool has_empty_table(const contract& content) {
+    return content.customers && content.customers->empty();
+}
+
 std::optional<contract> parse_snapshot(std::string_view bytes) {
     wire::snapshot in;
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
@@ -124,15 +135,17 @@
         content.routes.push_back(read_route(route));
     }
     content.limits = read_limits(in.limits());
+    std::vector<customer_contract> customers;
     for (const wire::customer& customer : in.customers()) {
-        content.customers.push_back(read_customer(customer));
+        customers.push_back(read_customer(customer));
     }
+    content.customers = make_table(std::move(customers), in.empty_customers());
     return content;
 }
 
 std::map<std::string, customer_contract> customers_by_name(const contract& content) {
     std::map<std::string, customer_contract> customers;
-    for (const customer_contract& customer : content.customers) {
+    for (const customer_contract& customer : customers_of(content)) {
         customers.emplace(customer.name, customer);
     }
     return customers;
@@ -275,9 +288,10 @@
         write_route(route, *out.add_routes());
     }
     write_limits(content.limits, *out.mutable_limits());
-    for (const customer_contract& customer : content.customers) {
+    for (const customer_contract& customer : customers_of(content)) {
         write_customer(customer, *out.add_customers());
     }
+    out.set_empty_customers(has_empty_table(content));
     return out.SerializeAsString();
 }
 
@@ -334,6 +348,7 @@
         [&](const customer_contract*, const customer_contract& customer) {
             write_customer(customer, *out.add_set_customers());
         });
+    out.set_empty_customers(has_empty_table(*after));
     return out.SerializeAsString();
 }
 
@@ -372,9 +387,12 @@
     for (const auto& [id, route] : routes) {
         after.routes.push_back(route);
     }
+    std::vector<customer_contract> table;
+    table.reserve(customers.size());
     for (const auto& [name, customer] : customers) {
-        after.customers.push_back(customer);
+        table.push_back(customer);
     }
+    after.customers = make_table(std::move(table), change.empty_customers());
     return encode_contract(after);
 }
 
@@ -404,6 +422,10 @@
                                            : "~ customer " + customer.name + ": " +
                                                  describe_customer_changes(*old, customer));
         });
+    if (before.customers.has_value() != after.customers.has_value()) {
+        lines.emplace_back(after.customers ? "+ customers: requests need a key"
+                                           : "- customers: requests need no key");
+    }
     return lines;
 }
 
--- a/lib/node/quota_agent.cpp
+++ b/lib/node/quota_agent.cpp
@@ -33,7 +33,8 @@
 }
 
 void quota_agent::apply_contract(time_point now) {
-    set_quota_limits(node_.quota, node_.active_contract->customers, now);
+    set_quota_limits(node_.quota, node_.active_contract->customers.value_or(std::vector<customer_contract>()),
+                     now);
     view_is_due_ = true;
 }
 
--- a/unittests/call/credentials_test.cpp
+++ b/unittests/call/credentials_test.cpp
@@ -15,7 +15,7 @@
 
 contract two_customers() {
     contract content;
-    content.customers = {{"a", {digest_of("key-a"), digest_of("key-a2")}, 3, 0, 0},
+    content.customers = std::vector<customer_contract>{{"a", {digest_of("key-a"), digest_of("key-a2")}, 3, 0, 0},
                          {"b", {digest_of("key-b")}, std::nullopt, 0, 0}};
     return content;
 }
@@ -55,10 +55,23 @@
     EXPECT_EQ(authorize(index, route(false), digest_of_key("key-a"), false), authorization());
 }
 
+// Guards against a system that is open to everybody once its last customer has been removed.
+TEST(Credentials, AreRequiredWithAnEmptyTableOfCustomers) {
+    contract content;
+    content.customers.emplace();
+    const credential_index index = make_credential_index(content);
+    EXPECT_TRUE(requires_keys(index));
+    for (const auto& key : {std::optional(digest_of_key("key-a")), std::optional<key_digest>()}) {
+        EXPECT_EQ(authorize(index, route(false), key, false).refusal, error_kind::unknown_credential);
+        EXPECT_EQ(authorize(index, route(true), key, false), authorization());
+        EXPECT_EQ(authorize(index, route(false), key, true), authorization());
+    }
+}
+
 // Guards against a customer without keys being taken for a contract without customers, which would admit all.
 TEST(Credentials, AreRequiredIfNoCustomerHasAKey) {
     contract content;
-    content.customers = {{"a", {}, std::nullopt, 0, 0}};
+    content.customers = std::vector<customer_contract>{{"a", {}, std::nullopt, 0, 0}};
     const credential_index index = make_credential_index(content);
     EXPECT_EQ(authorize(index, route(false), digest_of_key(""), false).refusal,
               error_kind::unknown_credential);
@@ -88,12 +101,13 @@
     constexpr std::size_t keys_per_customer = 10;
     constexpr std::size_t limit_bytes = 10'000'000;
     contract content;
+    auto& table = content.customers.emplace();
     for (std::size_t number = 0; number < customers; ++number) {
         customer_contract customer{"customer-" + std::to_string(number), {}, std::nullopt, 0, 0};
         for (std::size_t key = 0; key < keys_per_customer; ++key) {
             customer.key_digests.push_back(digest_of(customer.name + "/" + std::to_string(key)));
         }
-        content.customers.push_back(std::move(customer));
+        table.push_back(std::move(customer));
     }
     const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
     const credential_index index = make_credential_index(content);
--- a/unittests/contract/document_test.cpp
+++ b/unittests/contract/document_test.cpp
@@ -231,11 +231,19 @@
     EXPECT_EQ(match_route(content, "other", "/"), nullptr);
 }
 
+namespace {
+
+using customer_table = std::vector<customer_contract>;
+
+} // namespace
+
 TEST(Snapshot, DeltaCarriesCustomers) {
     contract before;
-    before.customers = {{"a", {digest_of("k1")}, 1, 10, 5}, {"b", {digest_of("k2")}, std::nullopt, 0, 0}};
+    before.customers =
+        customer_table{{"a", {digest_of("k1")}, 1, 10, 5}, {"b", {digest_of("k2")}, std::nullopt, 0, 0}};
     contract after;
-    after.customers = {{"a", {digest_of("k3")}, std::nullopt, 20.5, 5}, {"c", {digest_of("k2")}, 0, 0, 0}};
+    after.customers =
+        customer_table{{"a", {digest_of("k3")}, std::nullopt, 20.5, 5}, {"c", {digest_of("k2")}, 0, 0, 0}};
     const auto delta = make_delta(encode_contract(before), encode_contract(after));
     ASSERT_TRUE(delta);
     EXPECT_EQ(apply_delta(encode_contract(before), *delta), encode_contract(after));
@@ -246,6 +254,31 @@
     EXPECT_EQ(lines[2], "+ customer c");
 }
 
+// Guards against an empty table of customers that becomes none on its way to the nodes.
+TEST(Snapshot, EmptyTableOfCustomersSurvivesEachEncoding) {
+    const customer_table one{{"a", {digest_of("k1")}, 1, 10, 5}};
+    const customer_table two{{"a", {digest_of("k3")}, 1, 10, 5},
+                             {"b", {digest_of("k2")}, std::nullopt, 0, 0}};
+    std::vector<contract> contracts(4);
+    contracts[1].customers.emplace();
+    contracts[2].customers = one;
+    contracts[3].customers = two;
+    for (const contract& before : contracts) {
+        EXPECT_EQ(decode_contract(encode_contract(before)), before);
+        for (const contract& after : contracts) {
+            EXPECT_EQ(encode_contract(before) == encode_contract(after), before == after);
+            const auto delta = make_delta(encode_contract(before), encode_contract(after));
+            ASSERT_TRUE(delta);
+            EXPECT_EQ(apply_delta(encode_contract(before), *delta), encode_contract(after));
+            EXPECT_EQ(describe_difference(before, after).empty(), before == after);
+        }
+    }
+    EXPECT_EQ(describe_difference(contracts[0], contracts[1]),
+              std::vector<std::string>{"+ customers: requests need a key"});
+    EXPECT_EQ(describe_difference(contracts[1], contracts[0]),
+              std::vector<std::string>{"- customers: requests need no key"});
+}
+
 // Guards against customers that are lost between the operators' document and the nodes, and against
 // priorities and digests that are read differently from those of the platform's configuration.
 TEST(Document, HoldsCustomers) {
@@ -257,12 +290,19 @@
                                             "  c: {key_digests: [" +
                                             key_digest + "], priority: 0, rate_per_s: 2.5, burst: 7}\n");
     EXPECT_TRUE(content.routes.front().is_public);
-    EXPECT_EQ(content.customers, (std::vector<customer_contract>{{"c", {digest_of("k1")}, 0, 2.5, 7},
-                                                                 {"z", {}, std::nullopt, 0, 0}}));
+    EXPECT_EQ(content.customers,
+              (customer_table{{"c", {digest_of("k1")}, 0, 2.5, 7}, {"z", {}, std::nullopt, 0, 0}}));
     EXPECT_EQ(first_violation(content), "");
     EXPECT_EQ(decode_contract(encode_contract(content)), content);
 }
 
+TEST(Document, EmptyTableOfCustomersIsNotTheAbsenceOfOne) {
+    const std::string start = "services: {a: {}}\nroutes: [{host: h, prefix: /, service: a}]\n";
+    EXPECT_EQ(parse_document(start + "customers: {}\n").customers, customer_table());
+    EXPECT_FALSE(parse_document(start).customers);
+    EXPECT_EQ(parse_faults(start + "customers:\n").size(), 1U);
+}
+
 // Guards against faults of customers that are reported without a useful location, and against a key that was
 // entered in place of its digest being printed.
 TEST(Document, ReportsFaultsOfCustomers) {
--- a/unittests/platform/configuration_wire_test.cpp
+++ b/unittests/platform/configuration_wire_test.cpp
@@ -96,10 +96,10 @@
 TEST(ConfigurationWire, DecodesCustomersWithDigestsOfTheirKeys) {
     const auto read = decoded(with_customers(R"(["b",["k1","k2"],0,454,7.5],["a",["k3"],null,null,null])"));
     ASSERT_TRUE(read);
-    ASSERT_EQ(read->content.customers.size(), 2U);
-    const customer_contract& unlimited = read->content.customers[0];
+    ASSERT_EQ(customers_of(read->content).size(), 2U);
+    const customer_contract& unlimited = customers_of(read->content)[0];
     EXPECT_EQ(unlimited, (customer_contract{"a", {digest_of("k3")}, std::nullopt, 0, 0}));
-    const customer_contract& limited = read->content.customers[1];
+    const customer_contract& limited = customers_of(read->content)[1];
     EXPECT_EQ(limited.key_digests.size(), 2U);
     EXPECT_EQ(limited.priority, 0U);
     EXPECT_EQ(limited.rate_per_s, 454);
@@ -110,6 +110,18 @@
     EXPECT_EQ(encode_contract(read->content).find("k1"), std::string::npos) << "contains a key";
 }
 
+// Guards against a configuration whose last customer was removed being taken for one without customers.
+TEST(ConfigurationWire, EmptyTableOfCustomersIsNotTheAbsenceOfOne) {
+    const auto empty = decoded(with_customers(""));
+    const auto absent = decoded(valid_text);
+    const auto null = decoded(replaced("\"limits\"", "\"tenants\":null,\"limits\""));
+    ASSERT_TRUE(empty && absent && null);
+    EXPECT_EQ(empty->content.customers, std::vector<customer_contract>());
+    EXPECT_FALSE(absent->content.customers);
+    EXPECT_FALSE(null->content.customers);
+    EXPECT_EQ(decode_contract(encode_contract(empty->content)), empty->content);
+}
+
 TEST(ConfigurationWire, RejectsInvalidCustomers) {
     for (const char* rows :
          {R"(["a",["k1"],0,1,1],["b",["k1"],0,1,1])", R"(["a",["k1"],0,1,1],["a",["k2"],0,1,1])",
--- a/unittests/processes/test_customers.py
+++ b/unittests/processes/test_customers.py
@@ -23,13 +23,14 @@
 
 
 def document(customers):
-    """Returns a document with a keyed and a public route and the customers, a map from names to lists of keys."""
+    """Returns a document with a keyed and a public route and the customers, a map from names to lists of keys, which may be
+    empty, or None for a document without customers."""
     lines = ["services:", "  web: {timeout_ms: 8000, retries: {max_attempts: 2}}", "  solo: {timeout_ms: 8000}", "routes:",
              "  - {host: shop.example, prefix: /solo, service: solo}",
              "  - {host: shop.example, prefix: /, service: web}",
              "  - {host: shop.example, prefix: /open, service: web, public: true}"]
-    if customers:
-        lines.append("customers:")
+    if customers is not None:
+        lines.append("customers:" if customers else "customers: {}")
         lines += [f"  {name}: {{key_digests: [{', '.join(map(digest_of, keys))}], priority: 1, rate_per_s: 50.5}}"
                   for name, keys in customers.items()]
     return "\n".join(lines) + "\n"
@@ -149,8 +150,29 @@
         self.assertEqual(sorted(results), [("k-ana", 401)] * 3 + [("k-bo", 200)])
         self.assertEqual(self.runs(), before, "none of the refused requests ran")
 
-    def test_without_customers_nothing_changes(self):
+    def test_no_key_is_used_once_the_last_customer_is_removed(self):
+        self.apply({"ana": ["k-ana"]})
         self.apply({})
+        restarted = self.mesh.nodes[0]
+        restarted.kill(with_worker=False)
+        restarted.start(with_worker=False)
+        self.mesh.wait_members(self.mesh.nodes, 4)
+        self.mesh.wait_version(self.mesh.nodes, type(self).version)
+        before = self.runs()
+        for node in self.mesh.nodes:
+            for headers in ({}, bearer("k-ana"), {"X-Tenant": "ana"}):
+                self.assertEqual(self.call(node, "/x", headers)[:2], (401, "unknown-credential"), headers)
+        self.assertEqual(self.runs(), before)
+        for node in self.mesh.nodes:
+            seen = self.worker_headers(node, "/open", {**bearer("k-ana"), "X-Tenant": "ana"})
+            self.assertNotIn("authorization", seen)
+            self.assertNotIn("x-tenant", seen)
+        self.apply({"bo": ["k-ana"]})
+        for node in self.mesh.nodes:
+            self.assertEqual(self.worker_headers(node, "/x", bearer("k-ana"))["x-tenant"], "bo")
+
+    def test_without_customers_nothing_changes(self):
+        self.apply(None)
         for node in self.mesh.nodes:
             seen = self.worker_headers(node, "/x", {**bearer("k-ana"), "X-Tenant": "bo"})
             self.assertEqual((seen["authorization"], seen["x-tenant"]), ("Bearer k-ana", "bo"))
@@ -172,7 +194,7 @@
         out = self.mesh.ctl("plan", path, "--environment", "other")[1]
         self.assertNotIn("customer ana", out)
         self.assertIn("+ customer bo", out)
-        path.write_text(document({}) + "customers:\n  ana: {keys: [k-ana]}\n")
+        path.write_text(document(None) + "customers:\n  ana: {keys: [k-ana]}\n")
         code, _, faults = self.mesh.ctl("check", path, check=False)
         self.assertEqual(code, 1)
         self.assertIn("planned.yaml:9:9: unknown-key", faults)
--- a/unittests/proxy/customer_headers_test.cpp
+++ b/unittests/proxy/customer_headers_test.cpp
@@ -21,11 +21,21 @@
     content.routes.push_back(
         {.host = "h", .prefix = "/open", .service = "s", .non_idempotent_methods = {}, .is_public = true});
     for (const auto& [name, key] : names_and_keys) {
-        content.customers.push_back({name, {digest_of(key)}, std::nullopt, 0, 0});
+        if (!content.customers) {
+            content.customers.emplace();
+        }
+        content.customers->push_back({name, {digest_of(key)}, std::nullopt, 0, 0});
     }
     return content;
 }
 
+/// A contract with a table of customers that is empty.
+contract customerless_contract() {
+    contract content = keyed_contract({});
+    content.customers.emplace();
+    return content;
+}
+
 /// A node that enforces contracts without a network.
 class tested_node {
 public:
@@ -121,6 +131,50 @@
     EXPECT_EQ(sent, original);
 }
 
+// Guards against requests that run, with the client's own headers, once the last customer has been removed.
+TEST(CustomerHeaders, AnEmptyTableOfCustomersAdmitsNoKey) {
+    tested_node node;
+    node.enforce(1, keyed_contract({{"a", "ka"}}));
+    headers sent{{"Authorization", "Bearer ka"}, {"X-Tenant", "b"}};
+    const headers original = sent;
+    request_credentials waiting;
+    ASSERT_FALSE(authorize_request(node.context(), node.route(0), sent, waiting));
+    node.enforce(2, customerless_contract());
+    EXPECT_EQ(authorize_request(node.context(), node.route(0), sent, waiting),
+              error_kind::unknown_credential);
+    EXPECT_EQ(sent, headers()) << "a request that waits names its customer no more";
+    for (const std::size_t route : {0U, 1U}) {
+        headers arrived = original;
+        request_credentials credentials;
+        EXPECT_EQ(authorize_request(node.context(), node.route(route), arrived, credentials),
+                  route == 0 ? std::optional(error_kind::unknown_credential) : std::nullopt);
+        EXPECT_EQ(arrived, headers());
+    }
+    node.evidence().revoke = milliseconds(5000);
+    EXPECT_TRUE(needs_evidence(node.context()));
+    node.enforce(3, keyed_contract({{"c", "ka"}}));
+    headers returned = original;
+    request_credentials credentials;
+    EXPECT_FALSE(authorize_request(node.context(), node.route(0), returned, credentials));
+    EXPECT_EQ(returned, (headers{{"X-Tenant", "c"}}));
+}
+
+// The same at the worker's node, for senders that enforce an older contract.
+TEST(CustomerHeaders, AnEmptyTableOfCustomersIsEnforcedForOlderSenders) {
+    tested_node receiver;
+    receiver.enforce(3, customerless_contract());
+    for (const auto& older : {keyed_contract({{"a", "ka"}}), keyed_contract({})}) {
+        tested_node sender;
+        sender.enforce(2, older);
+        headers sent{{"Authorization", "Bearer ka"}, {"X-Tenant", "a"}};
+        request_credentials credentials;
+        ASSERT_FALSE(authorize_request(sender.context(), sender.route(0), sent, credentials));
+        headers delivered;
+        EXPECT_EQ(relay(receiver, sent, credentials, delivered), error_kind::unknown_credential);
+        EXPECT_EQ(delivered, headers());
+    }
+}
+
 // Guards against a removed or moved key that is used until all nodes enforce the new contract, and against
 // an older contract of the worker's node overruling the newer one of the client's node.
 TEST(CustomerHeaders, TheNewerContractDecides) {
