shutdown: answer every open call, and ask the worker's node what has not run

What callers saw: 5.5 s after its SIGTERM a node closes 72 connections.

Cause: the plan of a shutdown knew when to refuse new requests and when to stop; calls that were open then ended with their connections. Nor did the node know more: only the node beside a worker knows whether a request has started, and it was never told that the sender ends.

Evidence: `node-stopped` of states open_calls 72 and unsent_responses 0.

Why the fix works: a node that stops says by when its requests have to end, in a header on those that it sends after the signal and in a message for those before. The node beside the worker refuses from its queue what can't end by then, by the usual run time, and only its refusal becomes a 503: whoever decides about the start says that there is none. The queue beside the worker of the node that stops follows the same rule. 0.2 s before the process ends, the calls that are left get their final response: not run if nothing was sent, else unknown.

Checked on related paths: requests sent before and after the signal (test_shutdown.py), a queue beside the worker of the node that stops, notices that concern other requests (InboundProxy), requests that can't end in time and are refused at once (Admission).

--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -87,6 +87,9 @@
 /// customer that has the most waiting ones among the least urgent.
 admission_verdict admit(admission& state, const waiting_request& request, time_point now);
 
+/// Returns the request with no later end than `end`: it is admitted only if it is expected to end by then.
+waiting_request end_by(const waiting_request& request, time_point end);
+
 /// Requests decided when a slot is released or idle: those to run now, and those that were displaced or whose
 /// deadline passed while they waited.
 struct queue_update {
--- a/include/waxwingfall/node/node.h
+++ b/include/waxwingfall/node/node.h
@@ -62,6 +62,7 @@
     time_point last_tick_;
     time_point next_housekeeping_;
     time_point shutdown_started_;
+    time_point next_stop_notice_;
     std::uint64_t frames_refused_ = 0;
     std::uint64_t name_conflicts_ = 0;
     loop_event ticker_;
--- a/include/waxwingfall/proxy/call_headers.h
+++ b/include/waxwingfall/proxy/call_headers.h
@@ -42,6 +42,9 @@
     "X-Waxwingfall-Room-Ms"; ///< between nodes: time until the client of the refused request may return
 inline constexpr const char* link_backlog_ms =
     "X-Waxwingfall-Link-Backlog-Ms"; ///< between nodes: request bodies that the node's link has to carry
+inline constexpr const char* ends_in_ms =
+    "X-Waxwingfall-Ends-In-Ms"; ///< between nodes: the sender stops and needs the request to end within this
+                                ///< time
 inline constexpr const char* rate_limit =
     "X-Waxwingfall-Rate-Limit"; ///< between nodes: limit that the worker stated in an earlier response
 inline constexpr const char* replayed = "X-Waxwingfall-Replayed"; ///< the response comes from an earlier run
--- a/include/waxwingfall/proxy/call_proxy.h
+++ b/include/waxwingfall/proxy/call_proxy.h
@@ -36,11 +36,18 @@
     std::size_t open_calls() const { return calls_.size(); }
     std::size_t open_connections() const { return workers_.open_connections(); }
 
+    /// Prepares for the end of this process at `stops_at`: other nodes start the requests of open and later
+    /// calls only if these are expected to end before.
+    void plan_stop(time_point stops_at) { stops_at_ = stops_at; }
+
+    /// Repeats to other nodes which requests have to end before this process does.
+    void send_stop_notices(time_point now);
+
     /// Accepts no new connections. Requests on open ones are refused unless they end before the node stops.
-    void stop_accepting(time_point stops_at) {
-        server_.stop_accepting();
-        stops_at_ = stops_at;
-    }
+    void stop_accepting();
+
+    /// Sends the final response to each call that is still open: that it has not run where that is certain.
+    void end_calls();
 
     /// Applies the limits of the active document.
     void apply_contract_limits();
@@ -61,6 +68,9 @@
     static double token_expected_s(const call& refused);
     void claim(std::uint64_t id);
     void start_next_attempt(std::uint64_t id);
+    /// Time within which the worker has to end a call so that its response arrives before this process ends,
+    /// 0 if it has passed. Nothing if the deadline of the call comes first or no shutdown is in progress.
+    std::optional<milliseconds> time_until_forwarded_end(const call& placed, time_point now) const;
     std::optional<member_id> pick(const call& placed, time_point now);
     upstream_callbacks make_callbacks(std::uint64_t id, std::size_t attempt, time_point sent_at);
     void on_headers(std::uint64_t id, int status, const std::vector<http_header>& headers);
@@ -92,6 +102,8 @@
     void settle(call& settled, std::uint32_t state);
     void remove(std::uint64_t id);
     void sweep();
+    /// Ends a call although its attempt, if there is one, has not ended.
+    void give_up(std::uint64_t id, error_kind kind_if_not_run);
     /// True if a call may be retried after `reached_attempts` attempts that may have reached a worker. Spends
     /// a token of the retry budget if the retry needs one.
     bool may_retry(const call& failed, std::size_t reached_attempts, time_point now);
@@ -107,7 +119,8 @@
     std::map<std::string, struct retry_budget> budgets_; ///< by service name
     client_retry_tracker client_retries_;
     std::uint64_t next_id_ = 1;
-    std::optional<time_point> stops_at_; ///< set after the notice period of a shutdown
+    std::optional<time_point> stops_at_; ///< set during a shutdown
+    bool accepts_connections_ = true;
     request_server server_;
     loop_event sweep_;
 };
--- a/include/waxwingfall/proxy/inbound_proxy.h
+++ b/include/waxwingfall/proxy/inbound_proxy.h
@@ -39,9 +39,16 @@
     /// Applies the limits of the active document.
     void apply_contract_limits();
 
+    /// Prepares for the end of this process: requests that wait start only if they are expected to end by
+    /// `ends_by`.
+    void limit_requests(time_point ends_by) { ends_by_ = ends_by; }
+
     /// Refuses all new requests from now on.
     void stop_admitting() { admission_.leaving = true; }
 
+    /// Applies the notice of a node that stops to its requests that wait here.
+    void handle_stop_notice(const wire::stop_notice& notice, time_point now);
+
     /// Learns from the store of the leave that an earlier process of this node acknowledged, or that there is
     /// none.
     void restore_leave(const std::optional<left_worker>& left);
@@ -108,6 +115,8 @@
     /// Excludes a worker that has left and repeats its leave in the local record, for later processes.
     void exclude_worker(const left_worker& left, const std::string& source);
     void learn_leave_from_peers();
+    /// True unless a shutdown here or at the node that sent the request would cut it off.
+    bool may_start(const request& open, time_point now) const;
     /// Why a request that has not been sent to the worker can't be, or nothing if it can.
     std::optional<error_kind> refusal_of(const request& open, time_point now) const;
     /// The same, and decides again about the request's key if a newer contract is enforced by now.
@@ -129,6 +138,7 @@
     upstream_pool worker_;
     std::map<std::uint64_t, std::unique_ptr<request>> requests_;
     std::uint64_t next_id_ = 1;
+    std::optional<time_point> ends_by_; ///< of the requests that start now; set during a shutdown
     bool healthy_ = true;
     bool learned_from_peers_ = false; ///< of the previous process
     std::uint32_t failed_probes_ = 0;
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -236,6 +236,15 @@
     return request;
 }
 
+waiting_request end_by(const waiting_request& request, time_point end) {
+    waiting_request limited = request;
+    limited.deadline = std::min(request.deadline, end);
+    if (request.objective) {
+        limited.objective = std::min(*request.objective, end);
+    }
+    return limited;
+}
+
 admission_verdict admit(admission& state, const waiting_request& arrived, time_point now) {
     if (state.leaving) {
         return admission_verdict::refuse_leaving;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds pause_threshold{2000};
 constexpr milliseconds housekeeping_period{5000};
 constexpr milliseconds idle_peer_timeout{60'000};
+constexpr milliseconds stop_notice_period{500};
 
 std::string join_names(const std::vector<std::string>& names) {
     std::string text;
@@ -54,10 +55,10 @@
              {[this] { return call_proxy_.open_calls(); }, [this] { return inbound_proxy_.open_requests(); },
               [this] { return inbound_proxy_.worker_limit(); }, [this] { return platform_.is_reachable(); },
               [this] { return inbound_proxy_.worker_is_healthy(); }}),
-      evidence_(context_),
-      local_ports_(context_, inbound_proxy_, [this](const left_worker& left, std::function<void(bool)> respond) {
-          leaves_.write(left, std::move(respond));
-      }) {
+      evidence_(context_), local_ports_(context_, inbound_proxy_,
+                                        [this](const left_worker& left, std::function<void(bool)> respond) {
+                                            leaves_.write(left, std::move(respond));
+                                        }) {
     const ip_address& control = settings.control;
     context_.link = std::make_unique<message_link>(loop, control.host + ":" + std::to_string(control.port),
                                                    settings.translations,
@@ -126,6 +127,9 @@
     case wire::frame::kQuarantine:
         broadcast_crash(context_, frame.quarantine().fingerprint(), frame.quarantine().worker(), now);
         break;
+    case wire::frame::kStopNotice:
+        inbound_proxy_.handle_stop_notice(frame.stop_notice(), now);
+        break;
     case wire::frame::kQuotaRequest:
     case wire::frame::kQuotaGrant:
         quota_.handle(frame, now);
@@ -297,9 +301,19 @@
         apply(announce_shutdown(context_.control, now), "start");
         update_endpoint(context_.routing, context_.control.nodes.self, now);
     }
+    const time_point stops_at = shutdown_started_ + settings.shutdown_timeout;
+    call_proxy_.plan_stop(stops_at);
+    inbound_proxy_.limit_requests(local_requests_end(stops_at));
+    if (now >= next_stop_notice_) {
+        next_stop_notice_ = now + stop_notice_period;
+        call_proxy_.send_stop_notices(now);
+    }
     if (plan.refuses_requests) {
         inbound_proxy_.stop_admitting();
-        call_proxy_.stop_accepting(shutdown_started_ + settings.shutdown_timeout);
+        call_proxy_.stop_accepting();
+    }
+    if (plan.ends_calls) {
+        call_proxy_.end_calls();
     }
     if (plan.stops) {
         context_.log.write(event_id::node_stopped, wall_now(),
--- a/lib/proxy/call_attempts.cpp
+++ b/lib/proxy/call_attempts.cpp
@@ -55,6 +55,11 @@
         fail(id, final_kind(*refusal, placed.may_have_run));
         return;
     }
+    const auto ends_in = time_until_forwarded_end(placed, now);
+    if (ends_in == milliseconds(0)) {
+        fail(id, final_kind(error_kind::leaving, placed.may_have_run));
+        return;
+    }
     const auto endpoint = pick(placed, now);
     if (!endpoint) {
         fail(id, placed.attempted_endpoints.empty() ? error_kind::no_endpoint
@@ -81,6 +86,9 @@
     if (objective) {
         set_header(sent.headers, call_header::objective_ms, std::to_string(objective->count()));
     }
+    if (ends_in) {
+        set_header(sent.headers, call_header::ends_in_ms, std::to_string(ends_in->count()));
+    }
     if (placed.first_received != placed.received_at) {
         set_header(sent.headers, call_header::client_retry, "1");
     }
--- a/lib/proxy/call_proxy.cpp
+++ b/lib/proxy/call_proxy.cpp
@@ -94,7 +94,7 @@
         fail(id, error_kind::deadline_exceeded);
         return;
     }
-    if (stops_at_ && !ends_before_shutdown(started.deadline, *stops_at_)) {
+    if (!accepts_connections_ && !ends_before_shutdown(started.deadline, *stops_at_)) {
         fail(id, error_kind::leaving);
         return;
     }
@@ -337,19 +337,7 @@
         remove(id);
     }
     for (const std::uint64_t id : overdue) {
-        call& expired = *calls_.at(id);
-        if (expired.attempt_in_progress && !expired.may_have_run &&
-            !workers_.may_have_run(expired.upstream)) {
-            abandon_attempt(expired, attempt_result::cancelled);
-            fail(id, error_kind::deadline_exceeded);
-            continue;
-        }
-        if (expired.attempt_in_progress) {
-            abandon_attempt(expired, attempt_result::failed);
-            fail(id, error_kind::outcome_unknown);
-            continue;
-        }
-        fail(id, error_kind::deadline_exceeded);
+        give_up(id, error_kind::deadline_exceeded);
     }
     workers_.close_idle(now);
 }
--- a/lib/proxy/inbound_proxy.cpp
+++ b/lib/proxy/inbound_proxy.cpp
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <cassert>
 #include <optional>
+#include <set>
 
 #include "inbound_request.h"
 #include "waxwingfall/call/call_decisions.h"
 #include "waxwingfall/call/nested_calls.h"
+#include "waxwingfall/cluster/shutdown_plan.h"
 #include "waxwingfall/proxy/server_setup.h"
 #include "waxwingfall/support/digest.h"
 
@@ -149,7 +151,30 @@
     }
 }
 
+bool inbound_proxy::may_start(const request& open, time_point now) const {
+    if (!open.ends_by && !ends_by_) {
+        return true;
+    }
+    const milliseconds run_time = outlook_of(admission_, open.urgency.priority, now).run_time;
+    const unstarted_request waiting{open.deadline, run_time};
+    return may_start_before_shutdown(waiting, open.ends_by, now) &&
+           may_start_before_shutdown(waiting, ends_by_, now);
+}
+
+void inbound_proxy::handle_stop_notice(const wire::stop_notice& notice, time_point now) {
+    const std::set<std::string> ids(notice.requests().begin(), notice.requests().end());
+    const time_point ends_by = now + milliseconds(notice.ends_in_ms());
+    for (const auto& [id, open] : requests_) {
+        if (ids.contains(open->request_id)) {
+            open->ends_by = std::min(open->ends_by.value_or(ends_by), ends_by);
+        }
+    }
+}
+
 std::optional<error_kind> inbound_proxy::refusal_of(const request& open, time_point now) const {
+    if (!may_start(open, now)) {
+        return error_kind::leaving;
+    }
     if (node_.settings.heartbeats) {
         return find_refusal(node_.worker, open.service, node_.settings.drain, now);
     }
--- a/lib/proxy/inbound_request.h
+++ b/lib/proxy/inbound_request.h
@@ -30,6 +30,8 @@
     bool was_reset_unanswered = false; ///< the worker reset a new connection before any byte of a response
     std::size_t response_bytes = 0;
     waiting_request urgency;
+    std::string request_id;                    ///< that the client gave it; empty if there is none
+    std::optional<time_point> ends_by;         ///< set if the node that sent it stops
     std::shared_ptr<server_exchange> arriving; ///< of an upload that is not complete, else null
     bool is_body_requested = false;            ///< of that upload
     request_credentials credentials;
--- a/lib/proxy/upload_admission.cpp
+++ b/lib/proxy/upload_admission.cpp
@@ -40,6 +40,11 @@
     opened->deadline = read_deadline(exchange->headers(), max_call_duration, now);
     opened->started_at = now;
     opened->urgency = read_urgency(*exchange, id, opened->deadline, now);
+    opened->request_id = exchange->header(platform::header::attempt_id);
+    if (const auto ends_in = leading_number(exchange->header(call_header::ends_in_ms))) {
+        opened->ends_by = now + milliseconds(*ends_in);
+        opened->urgency = end_by(opened->urgency, *opened->ends_by);
+    }
     requests_.emplace(id, std::move(opened));
     return id;
 }
--- a/unittests/call/admission_test.cpp
+++ b/unittests/call/admission_test.cpp
@@ -162,3 +162,20 @@
     EXPECT_EQ(admit(state, {2, start + milliseconds(10)}, start), admission_verdict::refuse_leaving);
     EXPECT_EQ(state.running, 0U);
 }
+
+// Guards against a request that is queued although the node that sent it stops before it would end.
+TEST(Admission, RequestThatHasToEndEarlierIsRefusedAtOnce) {
+    admission state;
+    state.slots = 1;
+    state.queue_limit = 10;
+    const time_point now{};
+    const time_point deadline = now + milliseconds(10'000);
+    admit(state, make_waiting_request(1, deadline, 0, std::nullopt, false, now), now);
+    release_slot(state, milliseconds(1000), now);
+    admit(state, make_waiting_request(2, deadline, 0, std::nullopt, false, now), now);
+    const waiting_request next = make_waiting_request(3, deadline, 0, milliseconds(9000), false, now);
+    EXPECT_EQ(end_by(next, deadline), next);
+    EXPECT_EQ(admit(state, end_by(next, now + milliseconds(1500)), now),
+              admission_verdict::refuse_overloaded);
+    EXPECT_EQ(admit(state, end_by(next, now + milliseconds(3000)), now), admission_verdict::wait);
+}
--- a/unittests/call/credentials_test.cpp
+++ b/unittests/call/credentials_test.cpp
@@ -15,8 +15,9 @@
 
 contract two_customers() {
     contract content;
-    content.customers = std::vector<customer_contract>{{"a", {digest_of("key-a"), digest_of("key-a2")}, 3, 0, 0},
-                         {"b", {digest_of("key-b")}, std::nullopt, 0, 0}};
+    content.customers =
+        std::vector<customer_contract>{{"a", {digest_of("key-a"), digest_of("key-a2")}, 3, 0, 0},
+                                       {"b", {digest_of("key-b")}, std::nullopt, 0, 0}};
     return content;
 }
 
--- a/unittests/cluster/shutdown_plan_test.cpp
+++ b/unittests/cluster/shutdown_plan_test.cpp
@@ -59,3 +59,39 @@
     EXPECT_FALSE(ends_before_shutdown(arrival + milliseconds(4000), stops_at));
     EXPECT_FALSE(ends_before_shutdown(stops_at, stops_at));
 }
+
+// Guards against calls that are open when the node stops, so that their connections close without a response.
+TEST(ShutdownPlan, OpenCallsAreEndedBeforeTheNodeStops) {
+    constexpr milliseconds least_time_to_respond{150};
+    milliseconds ended{0};
+    milliseconds stopped{0};
+    for (milliseconds since{0}; since <= limit + milliseconds(50); since += milliseconds(50)) {
+        ended = ended.count() == 0 && plan_at(since).ends_calls ? since : ended;
+        stopped = stopped.count() == 0 && plan_at(since).stops ? since : stopped;
+    }
+    EXPECT_GE(ended, notice);
+    EXPECT_GE(stopped - ended, least_time_to_respond);
+    EXPECT_LE(stopped - ended, milliseconds(500)) << "requests that run may still end";
+}
+
+// Guards against a request that starts although it can't end before the process that waits for it.
+TEST(ShutdownPlan, RequestStartsOnlyIfItIsExpectedToEndBeforeTheShutdown) {
+    const time_point now{};
+    const time_point ends_by = now + milliseconds(1000);
+    const time_point late = now + milliseconds(5000);
+    EXPECT_TRUE(may_start_before_shutdown({late, milliseconds(900)}, ends_by, now));
+    EXPECT_FALSE(may_start_before_shutdown({late, milliseconds(1100)}, ends_by, now));
+    EXPECT_FALSE(may_start_before_shutdown({late, milliseconds(0)}, ends_by, ends_by));
+    EXPECT_TRUE(may_start_before_shutdown({ends_by, milliseconds(1100)}, ends_by, now));
+    EXPECT_TRUE(may_start_before_shutdown({late, milliseconds(9000)}, std::nullopt, now));
+}
+
+// Guards against a call that is ended with an unknown outcome while the refusal of its request is on its way.
+TEST(ShutdownPlan, RefusalsOfForwardedRequestsArriveBeforeTheirCallsAreEnded) {
+    constexpr milliseconds slowest_refusal{700};
+    const time_point stops_at = time_point{} + limit;
+    const time_point forwarded = forwarded_requests_end(stops_at);
+    EXPECT_GE(local_requests_end(stops_at) - forwarded, slowest_refusal);
+    EXPECT_FALSE(plan_at(milliseconds(elapsed_ms(time_point{}, forwarded))).ends_calls);
+    EXPECT_TRUE(plan_at(milliseconds(elapsed_ms(time_point{}, local_requests_end(stops_at)))).ends_calls);
+}
--- a/unittests/processes/test_shutdown.py
+++ b/unittests/processes/test_shutdown.py
@@ -1,6 +1,7 @@
 """Tests with real processes that a planned stop of one node cuts no request."""
 
 import http.client
+import itertools
 import pathlib
 import signal
 import socket
@@ -19,6 +20,8 @@
 
 
 class Shutdown(unittest.TestCase):
+    ids = itertools.count()
+
     @classmethod
     def setUpClass(cls):
         cls.mesh = ready_svecu_mesh()
@@ -60,6 +63,50 @@
         running.join()
         self.assertEqual(statuses, [200])
         wait_for(lambda: not node.process.alive(), 10, "the node stops")
+        node.start(with_worker=False)
+
+    def ask_in_background(self, node, run_ms, answers):
+        """Sends a request on a connection of its own. Appends its id and status, 0 if the connection ends without a response."""
+        name = f"shutdown-{next(self.ids)}"
+
+        def ask():
+            try:
+                headers = dict(HOST, **{"X-Attempt-Id": name, "X-Request-Id": name})
+                answers.append((name, request(node.calls, f"/?run_ms={run_ms}", headers=headers, timeout=10)[0]))
+            except OSError:
+                answers.append((name, 0))
+        thread = threading.Thread(target=ask)
+        thread.start()
+        return thread
+
+    def test_requests_that_wait_at_other_nodes_when_their_node_stops_are_answered(self):
+        node = self.mesh.by_name("riga-b-rez-1")
+        node.kill(with_worker=False)
+        node.limits = {"leave_notice_ms": NOTICE_MS, "leave_timeout_ms": 2000}
+        node.start(with_worker=False)
+        self.mesh.wait_members(self.mesh.nodes, 9, 30)
+        wait_for(lambda: node.version() == 1, 10, "the node enforces version 1")
+        workers = [other for other in self.mesh.nodes if other.service == "tirdznieciba"]
+        answers = []
+        threads = [self.ask_in_background(node, 2900, answers) for _ in range(36)]
+        time.sleep(0.3)  # all slots are used, and the others wait
+        threads += [self.ask_in_background(node, 2900, answers) for _ in range(10)]
+        time.sleep(0.2)
+        node.process.signal(signal.SIGTERM)
+        time.sleep(0.1)
+        threads += [self.ask_in_background(node, 2900, answers) for _ in range(10)]
+        for thread in threads:
+            thread.join()
+        wait_for(lambda: not node.process.alive(), 5, "the node stops")
+        self.assertEqual([name for name, status in answers if status == 0], [], "requests without a response")
+        refused = {name for name, status in answers if status == 503}
+        self.assertGreaterEqual(len(refused), 20)
+        time.sleep(3)
+        started = {line.split()[0] for worker in workers for line in worker.run_log.read_text().splitlines()}
+        self.assertEqual(refused & started, set(), "refused requests that ran")
+        self.assertEqual(node.events("node-stopped")[-1]["open_calls"], "0")
+        node.start(with_worker=False)
+        self.mesh.wait_members(self.mesh.nodes, 9, 30)
 
     def download(self, node, size, sizes):
         """Downloads `size` bytes at DOWNLOAD_BYTES_PER_S and appends how many of them were received."""
--- a/unittests/proxy/inbound_proxy_test.cpp
+++ b/unittests/proxy/inbound_proxy_test.cpp
@@ -56,7 +56,7 @@
     }
 
     /// Sends a request for `service` through the proxy. `status` receives that of its response.
-    void send(const std::string& service, int& status) {
+    void send(const std::string& service, int& status, const std::vector<http_header>& more_headers = {}) {
         upstream_callbacks callbacks;
         callbacks.on_headers = [&status](int received, const std::vector<http_header>&) {
             status = received;
@@ -65,11 +65,24 @@
         callbacks.on_end = [](upstream_end) {};
         upstream_options options;
         options.timeout = milliseconds(5000);
-        clients_.send(settings_.inbound,
-                      {EVHTTP_REQ_GET, "/", {{"Host", "h"}, {"X-Waxwingfall-Service", service}}, {}}, options,
-                      std::move(callbacks));
+        std::vector<http_header> headers{{"Host", "h"}, {"X-Waxwingfall-Service", service}};
+        headers.insert(headers.end(), more_headers.begin(), more_headers.end());
+        clients_.send(settings_.inbound, {EVHTTP_REQ_GET, "/", headers, {}}, options, std::move(callbacks));
+    }
+
+    /// Delivers the notice of a node that stops.
+    void notify_of_stop(const std::vector<std::string>& requests, milliseconds ends_in) {
+        wire::stop_notice notice;
+        notice.set_ends_in_ms(static_cast<std::uint64_t>(ends_in.count()));
+        for (const std::string& request : requests) {
+            notice.add_requests(request);
+        }
+        proxy_.handle_stop_notice(notice, monotonic_now());
     }
 
+    /// Lets this node stop in `ends_in`.
+    void limit_requests(milliseconds ends_in) { proxy_.limit_requests(monotonic_now() + ends_in); }
+
     /// Sends a request through the proxy and returns the status of its response.
     int status_of_request() {
         int status = 0;
@@ -141,7 +154,7 @@
                   [this](evhttp_request* request) { open_.push_back(request); }) {}
     void respond_to_all() {
         for (evhttp_request* request : std::exchange(open_, {})) {
-            send_response(request, 200, "");
+            send_response(request, 200, "", {{"X-Attempt-Id", request_header(request, "X-Attempt-Id")}});
         }
     }
     std::size_t open() const { return open_.size(); }
@@ -212,8 +225,8 @@
 struct occupied_proxy {
     occupied_proxy() : worker(proxy) {
         proxy.report_worker("two", "s", 2, 1);
-        proxy.send("s", first);
-        proxy.send("s", second);
+        proxy.send("s", first, {{"X-Attempt-Id", "first"}});
+        proxy.send("s", second, {{"X-Attempt-Id", "second"}});
         proxy.wait(milliseconds(100));
     }
     tested_proxy proxy;
@@ -248,6 +261,52 @@
     EXPECT_EQ(node.second, 200);
 }
 
+// Guards against a request that starts after the node that sent it has given it up: its client was told that
+// it has not run.
+TEST(InboundProxy, WaitingRequestOfANodeThatStopsIsRefusedAndNeverStarts) {
+    occupied_proxy node;
+    node.proxy.notify_of_stop({"first", "second"}, milliseconds(150));
+    node.proxy.wait(milliseconds(50));
+    EXPECT_EQ(node.second, 0) << "it can still end in time";
+    node.proxy.wait(milliseconds(200));
+    EXPECT_EQ(node.second, 503);
+    EXPECT_EQ(node.first, 0) << "the worker is at work on it";
+    node.worker.respond_to_all();
+    node.proxy.wait(milliseconds(100));
+    EXPECT_EQ(node.first, 200);
+    EXPECT_EQ(node.worker.open(), 0U);
+}
+
+TEST(InboundProxy, StopOfANodeConcernsItsOwnRequestsOnly) {
+    occupied_proxy node;
+    node.proxy.notify_of_stop({"first", "other"}, milliseconds(0));
+    node.proxy.wait(milliseconds(100));
+    EXPECT_EQ(node.second, 0);
+}
+
+// Guards against a request that starts, or waits, although its run would be cut off.
+TEST(InboundProxy, RequestOfANodeThatStopsIsRefusedAtOnceIfItCannotEndInTime) {
+    occupied_proxy node;
+    node.proxy.wait(milliseconds(300));
+    node.worker.respond_to_all(); // after a run of 400 ms
+    node.proxy.wait(milliseconds(50));
+    int late = 0;
+    node.proxy.send("s", late, {{"X-Attempt-Id", "late"}, {"X-Waxwingfall-Ends-In-Ms", "200"}});
+    node.proxy.wait(milliseconds(50));
+    EXPECT_EQ(late, 503);
+    EXPECT_EQ(node.worker.open(), 1U);
+}
+
+// Guards against requests that wait beside a worker and whose connections close when this process ends.
+TEST(InboundProxy, RequestsThatWaitAreRefusedBeforeThisNodeStops) {
+    occupied_proxy node;
+    node.proxy.limit_requests(milliseconds(50));
+    node.proxy.wait(milliseconds(150));
+    EXPECT_EQ(node.second, 503);
+    EXPECT_EQ(node.first, 0);
+    EXPECT_EQ(node.worker.open(), 1U);
+}
+
 // Guards against a leave that the peers of a node forget when it is killed twice in a row.
 TEST(InboundProxy, LeaveThatPeersTellIsRepeatedInTheLocalRecord) {
     tested_proxy proxy;
