--- a/review/kit3/mesh.py
+++ b/review/kit3/mesh.py
@@ -241,6 +241,9 @@
         raise CannotRun(f"not within {seconds} s: {what}")
 
     def run_events(self):
+        """What the workers have written; nothing once the folder is gone."""
+        if not self.runs.exists():
+            return []
         return [json.loads(line) for line in self.runs.read_text().splitlines()]
 
     def stop(self):
@@ -279,13 +282,11 @@
         note(f"could not run: {error}")
         code = 2
     finally:
+        lines.append("what the workers ran:")
         for started in MESHES:
-            if started.runs.exists():
-                note("what the workers ran:")
-                for event in started.run_events()[:2000]:
-                    lines.append("  " + json.dumps(event))
-                record.write_text("\n".join(lines) + "\n")
+            lines += ["  " + json.dumps(event) for event in started.run_events()[:2000]]
             started.stop()
+        record.write_text("\n".join(lines) + "\n")
     sys.exit(code)
 
 
