--- a/review/kit3/mesh.py
+++ b/review/kit3/mesh.py
@@ -278,8 +278,8 @@
         mesh, held = body(trouble, note)
         code = 0 if held else 1
         note("the rule held" if held else "the rule was broken")
-    except CannotRun as error:
-        note(f"could not run: {error}")
+    except Exception as error:  # a fault of the script must not be taken for a broken rule
+        note(f"could not run: {error!r}")
         code = 2
     finally:
         lines.append("what the workers ran:")
