credentials: the id of a request admits nothing that presents a credential

Cause: a request was taken for a call of the local worker by its id, which its client chooses. `authorize` admitted nested calls whatever they presented; the evidence check, the customer's limit and the priority followed the id as well.

No log told the two ways of being admitted apart: call-placed (602) says `nested` now.

Why the fix works: `authorize` is a total function over what is presented, whether the id extends a running one, the route and the contract; its table stands above the declaration. Workers call without a key, so only a request that presents nothing can be nested, and `is_nested` is a result of this decision: nothing else sees the id.

Related paths: evidence check, limit (`take_token` asks only for a customer), priority, second node with an older first one and with a newer second one (CustomerHeaders), pipelined requests that start late (the id is looked up once, on arrival). Uploads read the same headers as other requests (read, not played). A parent that ends while its call waits changes nothing for the call.

Two tests asserted the fault: Credentials wanted an unknown key of a nested request to run, and CustomerHeaders.OfPublicAndNestedRequests sent one. They now want the opposite, a property covers every form, and KeysNeedEvidenceUnderABound refuses a key whose id looks nested.

--- a/include/waxwingfall/call/credentials.h
+++ b/include/waxwingfall/call/credentials.h
@@ -44,23 +44,53 @@
 /// True if requests need the key of a customer, except nested ones and those on public routes.
 bool requires_keys(const credential_index& index);
 
-/// What a contract decides about the key of a request.
+/// Form of the credential that a request presents.
+enum class credential_form : std::uint8_t {
+    none,    ///< the request has no `Authorization` header
+    invalid, ///< it has several such headers, or one whose value is not a bearer key
+    key,
+};
+
+/// The credential that a request presents.
+struct presented_credential {
+    credential_form form = credential_form::none;
+    key_digest digest{}; ///< of the key; all zeros for the other forms
+    auto operator<=>(const presented_credential&) const = default;
+};
+
+/// What a contract decides about a request from its credential.
 struct authorization {
     std::optional<error_kind> refusal;
     /// Points into the index; null if the request has no customer.
     const credential_index::customer* customer = nullptr;
+    bool is_nested = false; ///< admitted as a call of the local worker
     auto operator<=>(const authorization&) const = default;
 };
 
-/// Decides whether a request may run and on behalf of which customer. Without a table of customers in the
-/// contract every request may run on behalf of none. `presented` is the digest of the request's key, if it
-/// has one; `is_nested` tells that a local worker sent it on behalf of a request that it runs.
+/// Decides whether a request may run, on behalf of which customer, and whether as a nested call.
+/// `extends_running_id` tells that its id extends that of a request that the local worker runs. Clients
+/// choose their ids, so this admits nothing that presents a credential: workers call without one.
+///
+///     customers in the contract  credential       id extends  route    decision
+///     no                         any              any         any      runs; nested if the id extends
+///     yes                        known key        any         any      runs for the key's customer
+///     yes                        other key        any         public   runs without a customer
+///     yes                        other key        any         keyed    unknown_credential
+///     yes                        invalid          any         public   runs without a customer
+///     yes                        invalid          any         keyed    unknown_credential
+///     yes                        none             yes         any      runs as a nested call
+///     yes                        none             no          public   runs without a customer
+///     yes                        none             no          keyed    unknown_credential
 authorization authorize(const credential_index& index, const route_contract& route,
-                        const std::optional<key_digest>& presented, bool is_nested);
+                        const presented_credential& presented, bool extends_running_id);
 
 /// Returns the digest of a key.
 key_digest digest_of_key(std::string_view key);
 
+/// Reads the credential in the values of all `Authorization` headers of a request. Several headers are
+/// invalid, since another reader of the request might choose a different one.
+presented_credential read_credential(const std::vector<std::string_view>& authorization_values);
+
 /// Extracts the key from the value of an `Authorization` header: the scheme `Bearer`, in any case, spaces and
 /// the key, which has no spaces. Returns an empty view if the value has another form.
 std::string_view bearer_key(std::string_view authorization_value);
--- a/include/waxwingfall/call/nested_calls.h
+++ b/include/waxwingfall/call/nested_calls.h
@@ -29,8 +29,9 @@
 /// Records the end of a run that `track_run` recorded.
 void untrack_run(running_requests& running, const std::string& id);
 
-/// True if a call with this id is made on behalf of a request that the local worker runs.
-bool is_nested_call(const running_requests& running, std::string_view id);
+/// True if an id extends that of a request that the local worker runs. Clients may choose such ids as well,
+/// so this shows who may have sent a request, not who did.
+bool extends_running_id(const running_requests& running, std::string_view id);
 
 } // namespace waxwingfall
 
--- a/include/waxwingfall/proxy/customer_headers.h
+++ b/include/waxwingfall/proxy/customer_headers.h
@@ -16,8 +16,9 @@
 
 /// What a node knows of the customer on whose behalf it handles a request.
 struct request_credentials {
-    std::optional<key_digest> key;         ///< digest of the key that the client presented
-    bool is_nested = false;                ///< sent by a worker on behalf of a request that it runs
+    presented_credential presented;        ///< remembered once the header has been removed
+    bool extends_running_id = false;       ///< its id extends that of a request that the local worker runs
+    bool is_nested = false;                ///< admitted as a call of the local worker
     bool is_public = false;                ///< its route needs no key
     std::uint64_t version = 0;             ///< of the contract that decided about the key; 0 if none did
     std::optional<std::uint32_t> priority; ///< of the customer, if it has one
@@ -25,7 +26,7 @@
 };
 
 /// Decides about the key of a client's request under the contract that the node enforces. If that contract
-/// has a table of customers, removes the `Authorization` header, remembers its key as a digest in
+/// has a table of customers, removes the `Authorization` header, remembers what it presented in
 /// `credentials`, and replaces `X-Tenant` by the name of the customer, or removes it. Returns the refusal, if
 /// there is one. May be called again under a newer contract.
 std::optional<error_kind> authorize_request(const node_context& node, const route_contract& route,
--- a/lib/call/credentials.cpp
+++ b/lib/call/credentials.cpp
@@ -58,26 +58,36 @@
 }
 
 authorization authorize(const credential_index& index, const route_contract& route,
-                        const std::optional<key_digest>& presented, bool is_nested) {
+                        const presented_credential& presented, bool extends_running_id) {
     if (!requires_keys(index)) {
-        return {};
+        return {std::nullopt, nullptr, extends_running_id};
+    }
+    if (presented.form == credential_form::none && extends_running_id) {
+        return {std::nullopt, nullptr, true};
     }
-    if (presented) {
-        const auto found = index.customers_by_key.find(*presented);
+    if (presented.form == credential_form::key) {
+        const auto found = index.customers_by_key.find(presented.digest);
         if (found != index.customers_by_key.end()) {
-            return {std::nullopt, &index.customers[found->second]};
+            return {std::nullopt, &index.customers[found->second], false};
         }
     }
-    if (is_nested || route.is_public) {
-        return {};
-    }
-    return {error_kind::unknown_credential, nullptr};
+    return {route.is_public ? std::nullopt : std::optional(error_kind::unknown_credential), nullptr, false};
 }
 
 key_digest digest_of_key(std::string_view key) {
     return to_key_digest(digest_of(key));
 }
 
+presented_credential read_credential(const std::vector<std::string_view>& authorization_values) {
+    if (authorization_values.empty()) {
+        return {};
+    }
+    const std::string_view key =
+        authorization_values.size() == 1 ? bearer_key(authorization_values.front()) : std::string_view();
+    return key.empty() ? presented_credential{credential_form::invalid, {}}
+                       : presented_credential{credential_form::key, digest_of_key(key)};
+}
+
 std::string_view bearer_key(std::string_view authorization_value) {
     const std::size_t scheme_end = authorization_value.find(' ');
     if (scheme_end == std::string_view::npos ||
--- a/lib/call/nested_calls.cpp
+++ b/lib/call/nested_calls.cpp
@@ -25,7 +25,7 @@
     }
 }
 
-bool is_nested_call(const running_requests& running, std::string_view id) {
+bool extends_running_id(const running_requests& running, std::string_view id) {
     // The id of a request that is itself nested contains separators, so each of them may end the parent's id.
     for (auto end = id.find(id_separator); end != std::string_view::npos;
          end = id.find(id_separator, end + 1)) {
--- a/lib/proxy/call_log.cpp
+++ b/lib/proxy/call_log.cpp
@@ -21,7 +21,8 @@
          {"try", std::to_string(placed.attempted_endpoints.size())},
          {"load", is_reported ? std::to_string(static_cast<int>(picked->reported_load)) : "unknown"},
          {"load_age_ms", is_reported ? std::to_string(elapsed_ms(picked->reported_at, now)) : ""},
-         {"version", std::to_string(placed.version)}});
+         {"version", std::to_string(placed.version)},
+         {"nested", placed.credentials.is_nested ? "yes" : "no"}});
 }
 
 void call_proxy::log_response(const call& responded) {
--- a/lib/proxy/call_proxy.cpp
+++ b/lib/proxy/call_proxy.cpp
@@ -39,6 +39,7 @@
     auto new_call = std::make_unique<call>();
     new_call->received_at = monotonic_now();
     new_call->received = read_request(*exchange);
+    new_call->credentials.extends_running_id = extends_running_id(node_.running, request_id(*new_call));
     new_call->client = std::make_unique<downstream>(std::move(exchange), node_.unsent);
     new_call->has_key = has_idempotency_key(new_call->received.method, new_call->received.request.headers);
     calls_.emplace(id, std::move(new_call));
@@ -60,7 +61,6 @@
         fail(id, error_kind::no_route);
         return;
     }
-    started.credentials.is_nested = is_nested_call(node_.running, request_id(started));
     if (const auto refusal = decide_credentials(started)) {
         fail(id, *refusal);
         return;
--- a/lib/proxy/call_quota.cpp
+++ b/lib/proxy/call_quota.cpp
@@ -22,7 +22,7 @@
 void call_proxy::take_token(std::uint64_t id) {
     call& started = *calls_.at(id);
     started.customer_key = started.customer.empty() ? 0 : quota_key(started.customer);
-    if (started.credentials.is_nested || !node_.quota.customers.contains(started.customer_key)) {
+    if (!node_.quota.customers.contains(started.customer_key)) {
         proceed(id);
         return;
     }
--- a/lib/proxy/customer_headers.cpp
+++ b/lib/proxy/customer_headers.cpp
@@ -20,14 +20,14 @@
     });
 }
 
-/// Returns the digest of the key in the only `Authorization` header. Two such headers present no key, since
-/// another reader of the request might choose the other one.
-std::optional<key_digest> presented_key(const std::vector<http_header>& headers) {
-    if (count_headers(headers, platform::header::authorization) != 1) {
-        return std::nullopt;
+std::vector<std::string_view> authorization_values(const std::vector<http_header>& headers) {
+    std::vector<std::string_view> values;
+    for (const http_header& header : headers) {
+        if (equal_ignoring_case(header.name, platform::header::authorization)) {
+            values.push_back(header.value);
+        }
     }
-    const std::string_view key = bearer_key(find_header(headers, platform::header::authorization)->value);
-    return key.empty() ? std::nullopt : std::optional(digest_of_key(key));
+    return values;
 }
 
 /// Parses the version of a contract in a header; 0 if it is not a number.
@@ -46,14 +46,17 @@
     credentials.version = node.version;
     credentials.is_public = route.is_public;
     if (!requires_keys(node.credentials)) {
+        credentials.is_nested = credentials.extends_running_id;
         return std::nullopt;
     }
-    if (!credentials.key) {
-        credentials.key = presented_key(headers);
+    if (credentials.presented.form == credential_form::none) {
+        credentials.presented = read_credential(authorization_values(headers));
     }
     remove_header(headers, platform::header::authorization);
     remove_header(headers, platform::header::tenant);
-    const authorization decided = authorize(node.credentials, route, credentials.key, credentials.is_nested);
+    const authorization decided =
+        authorize(node.credentials, route, credentials.presented, credentials.extends_running_id);
+    credentials.is_nested = decided.is_nested;
     credentials.priority.reset();
     if (decided.customer != nullptr) {
         headers.push_back({platform::header::tenant, decided.customer->name});
@@ -68,7 +71,7 @@
 
 std::optional<error_kind> check_evidence(const node_context& node, const request_credentials& credentials,
                                          boot_time now) {
-    const bool uses_key = credentials.key && !credentials.is_nested && !credentials.is_public;
+    const bool uses_key = credentials.presented.form == credential_form::key && !credentials.is_public;
     const bool is_refused =
         uses_key && needs_evidence(node) && !is_verified(node.evidence, node.version, now);
     return is_refused ? std::optional(error_kind::configuration_unverified) : std::nullopt;
@@ -76,12 +79,13 @@
 
 void add_credentials(const node_context& node, std::vector<http_header>& headers,
                      const request_credentials& credentials, boot_time now) {
-    if (credentials.key && needs_evidence(node) && !is_verified(node.evidence, node.version, now)) {
+    const bool has_key = credentials.presented.form == credential_form::key;
+    if (has_key && needs_evidence(node) && !is_verified(node.evidence, node.version, now)) {
         remove_header(headers, platform::header::tenant);
     }
     headers.push_back({call_header::key_version, std::to_string(credentials.version)});
-    if (credentials.key) {
-        headers.push_back({call_header::key_digest, format_key_digest(*credentials.key)});
+    if (has_key) {
+        headers.push_back({call_header::key_digest, format_key_digest(credentials.presented.digest)});
     }
     if (credentials.is_nested || credentials.is_public) {
         headers.push_back({call_header::key_exempt, credentials.is_nested ? "nested" : "public"});
@@ -90,9 +94,12 @@
 
 request_credentials read_credentials(const std::function<std::string(const char* name)>& value_of) {
     request_credentials credentials;
-    credentials.key = parse_key_digest(value_of(call_header::key_digest));
+    if (const auto digest = parse_key_digest(value_of(call_header::key_digest))) {
+        credentials.presented = {credential_form::key, *digest};
+    }
     const std::string exemption = value_of(call_header::key_exempt);
     credentials.is_nested = exemption == "nested";
+    credentials.extends_running_id = credentials.is_nested;
     credentials.is_public = exemption == "public";
     credentials.version = parse_version(value_of(call_header::key_version));
     return credentials;
--- a/unittests/call/credentials_test.cpp
+++ b/unittests/call/credentials_test.cpp
@@ -27,33 +27,56 @@
     return result;
 }
 
+presented_credential key(std::string_view text) {
+    return {credential_form::key, digest_of_key(text)};
+}
+
+const presented_credential no_credential;
+const presented_credential invalid_credential{credential_form::invalid, {}};
+
 } // namespace
 
 // Guards against requests that run without a known key, and against a lookup that names another customer.
 TEST(Credentials, NamesTheCustomerOfTheKey) {
     const credential_index index = make_credential_index(two_customers());
-    for (const auto& [key, name] : {std::pair("key-a", "a"), {"key-a2", "a"}, {"key-b", "b"}}) {
+    for (const auto& [text, name] : {std::pair("key-a", "a"), {"key-a2", "a"}, {"key-b", "b"}}) {
         for (const bool is_public : {false, true}) {
-            const authorization decided = authorize(index, route(is_public), digest_of_key(key), false);
+            const authorization decided = authorize(index, route(is_public), key(text), false);
             EXPECT_FALSE(decided.refusal);
             ASSERT_NE(decided.customer, nullptr);
             EXPECT_EQ(decided.customer->name, name);
         }
     }
-    EXPECT_EQ(authorize(index, route(false), digest_of_key("key-a"), false).customer->priority, 3U);
-    for (const auto& key : {std::optional(digest_of_key("key-c")), std::optional<key_digest>()}) {
-        EXPECT_EQ(authorize(index, route(false), key, false).refusal, error_kind::unknown_credential);
-        EXPECT_EQ(authorize(index, route(true), key, false), authorization());
-        EXPECT_EQ(authorize(index, route(false), key, true), authorization());
+    EXPECT_EQ(authorize(index, route(false), key("key-a"), false).customer->priority, 3U);
+    for (const auto& presented : {key("key-c"), no_credential, invalid_credential}) {
+        EXPECT_EQ(authorize(index, route(false), presented, false).refusal, error_kind::unknown_credential);
+        EXPECT_EQ(authorize(index, route(true), presented, false), authorization());
+    }
+    EXPECT_EQ(authorize(index, route(false), no_credential, true), (authorization{{}, nullptr, true}));
+}
+
+// Guards against withdrawn keys that run, and limits that are evaded, under an id that looks nested.
+RC_GTEST_PROP(Credentials, TheIdOfARequestAdmitsNothingThatPresentsACredential, ()) {
+    contract content = two_customers();
+    if (*rc::gen::arbitrary<bool>()) {
+        content.customers->clear();
     }
+    const credential_index index = make_credential_index(content);
+    const auto presented =
+        *rc::gen::element(key("key-a"), key("key-b"), key("withdrawn"), invalid_credential);
+    const route_contract requested = route(*rc::gen::arbitrary<bool>());
+    const authorization extending = authorize(index, requested, presented, true);
+    RC_ASSERT(extending == authorize(index, requested, presented, false));
+    RC_ASSERT(!extending.is_nested);
 }
 
 // Guards against refusals in deployments that have no customers.
 TEST(Credentials, AreNotRequiredWithoutCustomers) {
     const credential_index index = make_credential_index(contract());
     EXPECT_FALSE(requires_keys(index));
-    EXPECT_EQ(authorize(index, route(false), std::nullopt, false), authorization());
-    EXPECT_EQ(authorize(index, route(false), digest_of_key("key-a"), false), authorization());
+    EXPECT_EQ(authorize(index, route(false), no_credential, false), authorization());
+    EXPECT_EQ(authorize(index, route(false), key("key-a"), false), authorization());
+    EXPECT_TRUE(authorize(index, route(false), no_credential, true).is_nested);
 }
 
 // Guards against a system that is open to everybody once its last customer has been removed.
@@ -62,11 +85,11 @@
     content.customers.emplace();
     const credential_index index = make_credential_index(content);
     EXPECT_TRUE(requires_keys(index));
-    for (const auto& key : {std::optional(digest_of_key("key-a")), std::optional<key_digest>()}) {
-        EXPECT_EQ(authorize(index, route(false), key, false).refusal, error_kind::unknown_credential);
-        EXPECT_EQ(authorize(index, route(true), key, false), authorization());
-        EXPECT_EQ(authorize(index, route(false), key, true), authorization());
+    for (const auto& presented : {key("key-a"), no_credential, invalid_credential}) {
+        EXPECT_EQ(authorize(index, route(false), presented, false).refusal, error_kind::unknown_credential);
+        EXPECT_EQ(authorize(index, route(true), presented, false), authorization());
     }
+    EXPECT_EQ(authorize(index, route(false), no_credential, true), (authorization{{}, nullptr, true}));
 }
 
 // Guards against a customer without keys being taken for a contract without customers, which would admit all.
@@ -74,8 +97,7 @@
     contract content;
     content.customers = std::vector<customer_contract>{{"a", {}, std::nullopt, 0, 0}};
     const credential_index index = make_credential_index(content);
-    EXPECT_EQ(authorize(index, route(false), digest_of_key(""), false).refusal,
-              error_kind::unknown_credential);
+    EXPECT_EQ(authorize(index, route(false), key(""), false).refusal, error_kind::unknown_credential);
 }
 
 // Guards against headers that this node and another reader would understand in different ways.
@@ -88,6 +110,19 @@
     }
 }
 
+// Guards against a credential of another form being taken for none.
+TEST(Credentials, OfOtherFormsAreInvalid) {
+    EXPECT_EQ(read_credential({}), no_credential);
+    EXPECT_EQ(read_credential({"Bearer k1"}), key("k1"));
+    for (const std::vector<std::string_view>& values : {std::vector<std::string_view>{""},
+                                                        {"Basic k1"},
+                                                        {"Bearer"},
+                                                        {"Bearer k1", "Bearer k1"},
+                                                        {"", ""}}) {
+        EXPECT_EQ(read_credential(values), invalid_credential) << values.front();
+    }
+}
+
 RC_GTEST_PROP(Credentials, DigestsSurviveTheirTextForm, (const std::string& key)) {
     const key_digest digest = digest_of_key(key);
     RC_ASSERT(parse_key_digest(format_key_digest(digest)) == digest);
--- a/unittests/call/nested_calls_test.cpp
+++ b/unittests/call/nested_calls_test.cpp
@@ -10,20 +10,20 @@
     running_requests running;
     track_run(running, "9c41");
     track_run(running, "");
-    EXPECT_TRUE(is_nested_call(running, "9c41.6c2f"));
-    EXPECT_TRUE(is_nested_call(running, "9c41.6c2f.01"));
-    EXPECT_FALSE(is_nested_call(running, "9c41"));
-    EXPECT_FALSE(is_nested_call(running, "9c4.6c2f"));
-    EXPECT_FALSE(is_nested_call(running, "9c412.6c2f"));
-    EXPECT_FALSE(is_nested_call(running, ".6c2f"));
-    EXPECT_FALSE(is_nested_call(running, ""));
+    EXPECT_TRUE(extends_running_id(running, "9c41.6c2f"));
+    EXPECT_TRUE(extends_running_id(running, "9c41.6c2f.01"));
+    EXPECT_FALSE(extends_running_id(running, "9c41"));
+    EXPECT_FALSE(extends_running_id(running, "9c4.6c2f"));
+    EXPECT_FALSE(extends_running_id(running, "9c412.6c2f"));
+    EXPECT_FALSE(extends_running_id(running, ".6c2f"));
+    EXPECT_FALSE(extends_running_id(running, ""));
 }
 
 TEST(NestedCalls, RequestOfARunThatIsItselfNestedIsFound) {
     running_requests running;
     track_run(running, "9c41.6c2f");
-    EXPECT_TRUE(is_nested_call(running, "9c41.6c2f.01"));
-    EXPECT_FALSE(is_nested_call(running, "9c41.77"));
+    EXPECT_TRUE(extends_running_id(running, "9c41.6c2f.01"));
+    EXPECT_FALSE(extends_running_id(running, "9c41.77"));
 }
 
 TEST(NestedCalls, RunEndsOnceForEachStart) {
@@ -31,10 +31,10 @@
     track_run(running, "9c41");
     track_run(running, "9c41");
     untrack_run(running, "9c41");
-    EXPECT_TRUE(is_nested_call(running, "9c41.1"));
+    EXPECT_TRUE(extends_running_id(running, "9c41.1"));
     untrack_run(running, "9c41");
     untrack_run(running, "9c41");
-    EXPECT_FALSE(is_nested_call(running, "9c41.1"));
+    EXPECT_FALSE(extends_running_id(running, "9c41.1"));
     EXPECT_TRUE(running.runs.empty());
 }
 
--- a/unittests/processes/test_customers.py
+++ b/unittests/processes/test_customers.py
@@ -101,6 +101,23 @@
             self.assertEqual(self.call(node, "/open")[0], 200)
             self.assertEqual(self.call(node, "/open", bearer("k-wrong"))[0], 200)
 
+    def test_a_withdrawn_key_does_not_run_under_an_id_that_looks_nested(self):
+        self.apply({"ana": ["k-ana", "k-old"]})
+        self.apply({"ana": ["k-ana"]})
+        solo = self.mesh.by_name("b-2")
+        parent = threading.Thread(target=self.call, args=(solo, "/solo?run_ms=3000",
+                                                          {**bearer("k-ana"), "X-Attempt-Id": "page"}))
+        parent.start()
+        wait_for(lambda: solo.metrics()["waxwingfall_open_requests"] == 1, 10, "the parent runs")
+        before = self.runs()
+        for number, credential in enumerate(("Bearer k-old", "Bearer k-wrong", "Basic k-ana", "Bearer", "")):
+            headers = {"Authorization": credential, "X-Attempt-Id": f"page.{number}"}
+            self.assertEqual(self.call(solo, "/x", headers)[:2], (401, "unknown-credential"), credential)
+        self.assertEqual(self.runs(), before)
+        self.assertEqual(self.call(solo, "/x", {"X-Attempt-Id": "page.9"})[0], 200, "a call of the worker")
+        self.assertTrue(parent.is_alive(), "the parent ran all the while")
+        parent.join()
+
     def test_workers_get_the_customer_and_never_the_key(self):
         self.apply({"ana": ["k-ana"], "bo": ["k-bo"]})
         for node in self.mesh.nodes:
--- a/unittests/proxy/customer_headers_test.cpp
+++ b/unittests/proxy/customer_headers_test.cpp
@@ -101,13 +101,51 @@
 TEST(CustomerHeaders, OfPublicAndNestedRequestsNameNoMadeUpCustomer) {
     tested_node node;
     node.enforce(1, keyed_contract({{"a", "ka"}}));
-    for (const bool is_nested : {false, true}) {
-        headers sent{{"X-Tenant", "a"}, {"Authorization", "Bearer unknown"}};
+    headers sent{{"X-Tenant", "a"}, {"Authorization", "Bearer unknown"}};
+    request_credentials credentials;
+    EXPECT_FALSE(authorize_request(node.context(), node.route(1), sent, credentials));
+    EXPECT_EQ(sent, headers());
+    sent = {{"X-Tenant", "a"}};
+    request_credentials nested;
+    nested.extends_running_id = true;
+    EXPECT_FALSE(authorize_request(node.context(), node.route(0), sent, nested));
+    EXPECT_TRUE(nested.is_nested);
+    EXPECT_EQ(sent, headers());
+}
+
+// Guards against a withdrawn key that runs under an id that looks nested, at either node.
+TEST(CustomerHeaders, OfRequestsWithCredentialsAreNeverThoseOfNestedCalls) {
+    const headers withdrawn{{"Authorization", "Bearer withdrawn"}};
+    tested_node node;
+    node.enforce(2, keyed_contract({{"a", "ka"}}));
+    tested_node older;
+    older.enforce(1, keyed_contract({}));
+    for (const headers& original : {withdrawn,
+                                    {{"Authorization", "Basic ka"}},
+                                    {{"Authorization", ""}},
+                                    {{"Authorization", "Bearer ka"}, {"authorization", "Bearer ka"}}}) {
+        headers sent = original;
         request_credentials credentials;
-        credentials.is_nested = is_nested;
-        EXPECT_FALSE(authorize_request(node.context(), node.route(is_nested ? 0 : 1), sent, credentials));
-        EXPECT_EQ(sent, headers());
+        credentials.extends_running_id = true;
+        EXPECT_EQ(authorize_request(node.context(), node.route(0), sent, credentials),
+                  error_kind::unknown_credential);
+        EXPECT_FALSE(credentials.is_nested);
+        sent = original;
+        request_credentials undecided;
+        undecided.extends_running_id = true;
+        ASSERT_FALSE(authorize_request(older.context(), older.route(0), sent, undecided));
+        headers delivered;
+        EXPECT_EQ(relay(node, sent, undecided, delivered), error_kind::unknown_credential);
     }
+    headers sent{{"Authorization", "Bearer ka"}};
+    request_credentials credentials;
+    credentials.extends_running_id = true;
+    ASSERT_FALSE(authorize_request(node.context(), node.route(0), sent, credentials));
+    EXPECT_EQ(header_value(sent, "X-Tenant"), "a") << "it counts towards the limit of its customer";
+    tested_node newer;
+    newer.enforce(3, keyed_contract({{"b", "kb"}}));
+    headers delivered;
+    EXPECT_EQ(relay(newer, sent, credentials, delivered), error_kind::unknown_credential);
 }
 
 // Guards against two readers of one request that choose different keys.
@@ -213,7 +251,7 @@
     }
     headers sent;
     request_credentials nested;
-    nested.is_nested = true;
+    nested.extends_running_id = true;
     ASSERT_FALSE(authorize_request(sender.context(), sender.route(0), sent, nested));
     EXPECT_FALSE(relay(receiver, sent, nested, delivered));
 }
@@ -238,17 +276,21 @@
     tested_node node;
     node.enforce(1, keyed_contract({{"a", "ka"}}));
     request_credentials keyed;
-    keyed.key = digest_of_key("ka");
+    keyed.presented = {credential_form::key, digest_of_key("ka")};
     const boot_time now = boottime_now();
     EXPECT_FALSE(check_evidence(node.context(), keyed, now)) << "no bound is set";
     node.evidence().revoke = milliseconds(5000);
     EXPECT_EQ(check_evidence(node.context(), keyed, now), error_kind::configuration_unverified);
-    for (request_credentials exempt : {request_credentials(), keyed}) {
-        exempt.is_nested = exempt.key.has_value();
-        EXPECT_FALSE(check_evidence(node.context(), exempt, now));
-        std::swap(exempt.is_nested, exempt.is_public);
+    request_credentials public_with_key = keyed;
+    public_with_key.is_public = true;
+    request_credentials nested;
+    nested.extends_running_id = nested.is_nested = true;
+    for (const request_credentials& exempt : {request_credentials(), public_with_key, nested}) {
         EXPECT_FALSE(check_evidence(node.context(), exempt, now));
     }
+    keyed.extends_running_id = true;
+    EXPECT_EQ(check_evidence(node.context(), keyed, now), error_kind::configuration_unverified);
+    keyed.extends_running_id = false;
     record_read(node.evidence(), now, 1, now);
     EXPECT_FALSE(check_evidence(node.context(), keyed, now));
     EXPECT_EQ(check_evidence(node.context(), keyed, now + milliseconds(5000)),
