responses: no status that promises "not run" for a request that ran

Cause: both nodes told X-Not-Run and 421 from other responses, and forwarded the others whatever their status.

Why the fix works: `call/response_decision` decides for both nodes: what a response states, and whether it is forwarded. 408, 421, 429 and 503 are never forwarded for a request that ran: one that may run again is tried elsewhere, any other ends with 502 `worker-failed`, without the worker's headers.

Related paths: 421 (a statement by the page, stays a refusal); a silent attempt (its late 429 won over the attempt in progress); a record of the ledger with such a status; every error kind after a possible run (ResponseDecision walks over the table). Early answers to uploads and answers after the deadline take the same path (read, not played).

--- a/include/waxwingfall/proxy/call_proxy.h
+++ b/include/waxwingfall/proxy/call_proxy.h
@@ -86,7 +86,8 @@
     void abandon_attempt(call& abandoned, attempt_result result);
     void on_refused(std::uint64_t id);
     void finish(std::uint64_t id);
-    void fail(std::uint64_t id, error_kind kind);
+    /// Ends a call with the error that `cause` amounts to after its attempts.
+    void fail(std::uint64_t id, error_kind cause);
     void replay(std::uint64_t id, const ledger_record& record);
     void start_response(call& active);
     struct retry_budget& budget_of(const std::string& service);
--- a/include/waxwingfall/standin/worker_service.h
+++ b/include/waxwingfall/standin/worker_service.h
@@ -28,7 +28,8 @@
 /// header X-Not-Run, observes deadlines and cancellation, and logs each request that it runs. Query
 /// parameters of /control drain it, set the health status that it reports, truncate responses, set the run
 /// time and the rate limit that it states, which it does not enforce; a request with the query parameter
-/// `crash` ends the process, and one with `headers` is answered with the headers that it arrived with.
+/// `crash` ends the process, one with `headers` is answered with the headers that it arrived with, and one
+/// with `status` is answered with that status after it has run.
 class worker_service {
 public:
     worker_service(const event_loop& loop, const worker_options& options);
--- a/lib/proxy/call_attempts.cpp
+++ b/lib/proxy/call_attempts.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr std::size_t max_stored_response_bytes = 4096;
-/// Status of a worker's response if the deadline has passed; a retry would be too late as well.
-constexpr int status_worker_deadline = 504;
 /// Responses up to this size are forwarded only once they are complete. Larger ones are streamed, which
 /// bounds the memory used.
 constexpr std::size_t max_buffered_response_bytes = 64UL * 1024;
@@ -40,8 +38,7 @@
     const time_point now = monotonic_now();
     const std::string& service = placed.service->name;
     if (now >= placed.deadline) {
-        fail(id, placed.attempted_endpoints.empty() ? error_kind::deadline_exceeded
-                                                    : final_kind(placed.refusal, placed.may_have_run));
+        fail(id, placed.attempted_endpoints.empty() ? error_kind::deadline_exceeded : placed.refusal);
         return;
     }
     if (!placed.granted && placed.client->is_disconnected()) {
@@ -52,18 +49,17 @@
     }
     // The key may have been removed since the call arrived or since its last attempt.
     if (const auto refusal = decide_credentials(placed)) {
-        fail(id, final_kind(*refusal, placed.may_have_run));
+        fail(id, *refusal);
         return;
     }
     const auto ends_in = time_until_forwarded_end(placed, now);
     if (ends_in == milliseconds(0)) {
-        fail(id, final_kind(error_kind::leaving, placed.may_have_run));
+        fail(id, error_kind::leaving);
         return;
     }
     const auto endpoint = pick(placed, now);
     if (!endpoint) {
-        fail(id, placed.attempted_endpoints.empty() ? error_kind::no_endpoint
-                                                    : final_kind(placed.refusal, placed.may_have_run));
+        fail(id, placed.attempted_endpoints.empty() ? error_kind::no_endpoint : placed.refusal);
         return;
     }
     make_current(placed, *endpoint, placed.attempted_endpoints.size() + 1);
@@ -161,12 +157,18 @@
         active.status = 0;
         return;
     }
-    active.worker_failed = status >= first_server_error && status != status_worker_deadline;
-    const bool others_may_succeed =
-        active.worker_failed && !active.non_idempotent &&
-        other_endpoints_are_healthier(node_.routing, active.service->name, active.endpoint);
-    if (others_may_succeed && may_retry(active, active.reached_attempts + 1, monotonic_now())) {
-        active.response_withheld = true;
+    active.worker_failed = is_worker_failure(status);
+    ran_response response{status, active.non_idempotent, false};
+    // A withheld response is decided about like a lost one, at its end.
+    if (decide_response(response) == response_action::forward && active.worker_failed &&
+        !active.non_idempotent) {
+        response.others_may_succeed =
+            other_endpoints_are_healthier(node_.routing, active.service->name, active.endpoint) &&
+            may_retry(active, active.reached_attempts + 1, monotonic_now());
+    }
+    active.action = decide_response(response);
+    if (active.action != response_action::forward) {
+        active.withheld_status = status;
         active.status = 0;
         return;
     }
@@ -270,20 +272,19 @@
         on_refused(id);
         return;
     }
-    if (ended.response_withheld) {
-        // `may_retry` allowed the retry when the response was withheld.
-        ended.may_have_run = true;
-        ended.refusal = error_kind::worker_failed;
+    ended.may_have_run = true;
+    ended.refusal = error_kind::worker_failed;
+    if (ended.action == response_action::try_elsewhere) {
+        // `may_retry` allowed the attempt when the response began.
         start_next_attempt(id);
         return;
     }
     if (ended.client->has_started() || ended.non_idempotent) {
         // A second run could repeat the first one's side effects.
-        fail(id, error_kind::outcome_unknown);
+        const bool has_failed = ended.action == response_action::withhold;
+        fail(id, has_failed ? error_kind::worker_failed : error_kind::outcome_unknown);
         return;
     }
-    ended.may_have_run = true;
-    ended.refusal = error_kind::worker_failed;
     if (may_retry(ended, ended.reached_attempts, now)) {
         start_next_attempt(id);
     } else {
@@ -296,7 +297,7 @@
     if (is_retryable(refused.refusal) && may_retry(refused, refused.reached_attempts, monotonic_now())) {
         start_next_attempt(id);
     } else {
-        fail(id, final_kind(refused.refusal, refused.may_have_run));
+        fail(id, refused.refusal);
     }
 }
 
--- a/lib/proxy/call_log.cpp
+++ b/lib/proxy/call_log.cpp
@@ -44,6 +44,7 @@
                      {"reason", std::string(error_info_of(kind).name)},
                      {"outcome", std::string(outcome_name(result))},
                      {"tries", std::to_string(failed.attempted_endpoints.size())},
+                     {"worker_status", std::to_string(failed.withheld_status)},
                      {"version", std::to_string(failed.version)},
                      {"age_ms", std::to_string(elapsed_ms(failed.received_at, monotonic_now()))}});
 }
--- a/lib/proxy/call_proxy.cpp
+++ b/lib/proxy/call_proxy.cpp
@@ -5,6 +5,7 @@
 #include "call_state.h"
 #include "waxwingfall/call/call_decisions.h"
 #include "waxwingfall/call/placement.h"
+#include "waxwingfall/call/response_decision.h"
 #include "waxwingfall/cluster/shutdown_plan.h"
 #include "waxwingfall/contract/snapshot.h"
 #include "waxwingfall/proxy/server_setup.h"
@@ -187,7 +188,8 @@
 void call_proxy::replay(std::uint64_t id, const ledger_record& record) {
     call& repeated = *calls_.at(id);
     node_.counts.replayed += 1;
-    if (!record.response_kept) {
+    // A record of an earlier release may hold a status that promises that its request has not run.
+    if (!record.response_kept || promises_not_run(static_cast<int>(record.status))) {
         fail(id, error_kind::answer_not_kept);
         return;
     }
@@ -271,11 +273,12 @@
     remove(id);
 }
 
-void call_proxy::fail(std::uint64_t id, error_kind kind) {
+void call_proxy::fail(std::uint64_t id, error_kind cause) {
     call& failed = *calls_.at(id);
     if (monotonic_now() < failed.deadline && resume_silent_attempt(failed)) {
         return;
     }
+    const error_kind kind = final_kind(cause, failed.may_have_run);
     const error_info& row = error_info_of(kind);
     const outcome result = outcome_of(kind, failed.has_key, failed.was_granted);
     log_failure(failed, kind, result);
--- a/lib/proxy/call_state.h
+++ b/lib/proxy/call_state.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "waxwingfall/call/response_decision.h"
 #include "waxwingfall/proxy/call_proxy.h"
 #include "waxwingfall/proxy/customer_headers.h"
 
@@ -16,9 +17,6 @@
 /// before this node times out.
 inline constexpr milliseconds deadline_margin{50};
 
-/// Smallest status with which a worker reports a failure of its own.
-inline constexpr int first_server_error = 500;
-
 /// An attempt that its node has not acknowledged in time. It is awaited beside the next attempt, since a node
 /// that is only slow may run it; the first response of a worker wins.
 struct silent_attempt {
@@ -46,11 +44,12 @@
     std::optional<time_point> token_wait_ends; ///< set while the call waits for a token of its customer
     milliseconds token_expected_in{0};         ///< of a call that is refused for lack of one
     std::uint32_t max_attempts = 1;
-    std::size_t reached_attempts = 0; ///< attempts that may have reached a worker
-    bool may_have_run = false;        ///< at one of those workers
-    bool worker_failed = false;       ///< the worker responded with a server error other than 504
-    bool response_withheld = false; ///< the worker failed the request, and another endpoint is tried instead
-    bool response_started = false;  ///< the response to the client has been started
+    std::size_t reached_attempts = 0;                  ///< attempts that may have reached a worker
+    bool may_have_run = false;                         ///< at one of those workers
+    bool worker_failed = false;                        ///< see `is_worker_failure`
+    response_action action = response_action::forward; ///< about the response of the current attempt
+    int withheld_status = 0;       ///< of the last response that was not forwarded; 0 if there is none
+    bool response_started = false; ///< the response to the client has been started
     std::vector<http_header> response_headers;
     std::string buffered_body; ///< of a response that has not been started yet
     time_point received_at;
--- a/lib/proxy/inbound_proxy.cpp
+++ b/lib/proxy/inbound_proxy.cpp
@@ -8,6 +8,7 @@
 #include "inbound_request.h"
 #include "waxwingfall/call/call_decisions.h"
 #include "waxwingfall/call/nested_calls.h"
+#include "waxwingfall/call/response_decision.h"
 #include "waxwingfall/cluster/shutdown_plan.h"
 #include "waxwingfall/proxy/server_setup.h"
 #include "waxwingfall/support/digest.h"
@@ -231,11 +232,9 @@
     running.status = status;
     running.responded_at = monotonic_now();
     observe_worker(running, headers);
-    running.worker_refused =
-        status == platform::misdirected_status ||
-        (status >= first_failure_status && !header_value(headers, call_header::not_run).empty());
+    const outcome result = stated_outcome(status, !header_value(headers, call_header::not_run).empty());
+    running.worker_refused = result == outcome::not_run;
     auto forwarded = with_load(end_to_end_headers(headers));
-    const outcome result = running.worker_refused ? outcome::not_run : outcome::done;
     forwarded.push_back({call_header::outcome, std::string(outcome_name(result))});
     if (running.worker_refused) {
         forwarded.push_back(
--- a/lib/proxy/silent_attempts.cpp
+++ b/lib/proxy/silent_attempts.cpp
@@ -3,6 +3,13 @@
 
 namespace waxwingfall {
 
+namespace {
+
+/// Smallest status with which a worker reports a failure of its own.
+constexpr int first_server_error = 500;
+
+} // namespace
+
 upstream_callbacks call_proxy::make_callbacks(std::uint64_t id, std::size_t attempt, time_point sent_at) {
     upstream_callbacks callbacks;
     callbacks.on_headers = [this, id, attempt](int status, const std::vector<http_header>& headers) {
@@ -67,7 +74,7 @@
 void call_proxy::on_silent_headers(std::uint64_t id, int status, const std::vector<http_header>& headers) {
     call& active = *calls_.at(id);
     const bool is_success = header_value(headers, call_header::outcome) == outcome_name(outcome::done) &&
-                            status < first_server_error;
+                            status < first_server_error && !promises_not_run(status);
     if (!is_success || active.client->has_started()) {
         active.silent->refused = true;
         return;
@@ -96,7 +103,7 @@
     started.attempt_in_progress = true;
     started.refused = false;
     started.crashed = false;
-    started.response_withheld = false;
+    started.action = response_action::forward;
     started.worker_failed = false;
     started.report = {};
     started.status = 0;
--- a/lib/standin/worker_service.cpp
+++ b/lib/standin/worker_service.cpp
@@ -156,9 +156,10 @@
         query_value(request, "headers").empty()
             ? "{\"worker\":\"" + options_.name + "\",\"request\":\"" + finished.id + "\"}\n"
             : received_headers(request);
+    const auto status = parse_number(query_value(request, "status"), 200);
     evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
     jobs_.erase(job_id);
-    send_response(request, 200, body, {{"Content-Type", "application/json"}});
+    send_response(request, static_cast<int>(status), body, {{"Content-Type", "application/json"}});
 }
 
 void worker_service::stream(std::uint64_t job_id, std::uint64_t remaining) {
--- a/unittests/processes/test_calls.py
+++ b/unittests/processes/test_calls.py
@@ -191,6 +191,24 @@
         crashed.start_worker()
         wait_for(lambda: crashed.status()["worker_healthy"], 10, "the worker is healthy again")
 
+    def test_no_status_of_a_worker_promises_that_a_request_that_ran_did_not(self):
+        for number, status in enumerate((408, 421, 429, 503)):
+            node, key, name = self.mesh.nodes[number], new_key(), f"false-promise-{status}"
+            answer = self.post(node, key, name, path=f"/rezervet?status={status}")
+            if status == 421:  # states that the request did not run
+                self.assertEqual(answer[1], "not-run", answer)
+                continue
+            self.assertEqual(answer[:3], (502, "unknown", "worker-failed"), answer)
+            self.assertNotIn("Retry-After", answer[4])
+            repeated = self.post(self.mesh.nodes[0], key, name, path=f"/rezervet?status={status}")
+            self.assertEqual(repeated[:2], (504, "unknown"), repeated)
+            self.assertEqual(self.runs(name), 1)
+            logged = node.events("call-failed")
+            self.assertTrue(any(line["worker_status"] == str(status) for line in logged), logged)
+            lookup = request(node.calls, f"/plots?status={status}", headers=HOST)
+            self.assertEqual((lookup[0], lookup[1]["X-Waxwingfall-Outcome"]), (502, "unknown"))
+        self.assertEqual(self.post(self.mesh.nodes[0], new_key(), "failed", path="/rezervet?status=500")[:2], (500, "done"))
+
     def test_cancelled_requests_are_cancelled_at_the_worker(self):
         host, port = self.mesh.nodes[0].calls.split(":")
         with socket.create_connection((host, int(port))) as connection:
