quarantine: a completion clears a request of the crashes before it

Cause: the quarantine took it for proof that a request was running at two crashes. A popular one always is.

Evidence: request-quarantined (501) with the fingerprint of the page, between thousands of its completions. The event now gives verdict, workers and trials.

Why the fix works: the cause crashes each worker that begins to run it, so it never completes. A completion clears a request of the crashes before it, by the hybrid clock, and records merge in any order to the same result. A request with two crashes and no completion since runs on trial: one at a time over all nodes, and one suspect at a time at a worker, so that a crash convicts one of them; others like it get 503 `crash-suspected` meanwhile.

Related paths: a worker that leaves and ends while it runs requests is no evidence; a node that has started asks others for suspects; both nodes report one crash under one time (X-Waxwingfall-Crashed-At); fast clocks; a node that missed a completion finds out by its own next run; retries inside a call stay denied for suspects. A release that mends the workers shows in the next trial. The message `quarantine` is replaced by `crash_record`: while a mesh is upgraded, old and new nodes do not share crashes.

--- a/include/waxwingfall/call/crash_detector.h
+++ b/include/waxwingfall/call/crash_detector.h
@@ -53,6 +53,10 @@
 /// Applies the result of a probe that was sent after the last `add_broken_request` that asked for one.
 crash_finding apply_probe_result(crash_detector& state, probe_result result);
 
+/// True if the end of a worker is evidence against the requests that it ran. A worker that said that it
+/// leaves ends by itself, also while it still runs requests.
+bool is_crash_evidence(bool crashed, bool leaving);
+
 /// Applies the complete response to a request that was sent to the worker at `sent_at`. A crash breaks all
 /// connections, so requests that broke after `sent_at` and some time ago did not break by a crash. A
 /// worker that is full resets new connections, those of probes as well.
--- a/include/waxwingfall/node/node.h
+++ b/include/waxwingfall/node/node.h
@@ -60,6 +60,8 @@
     evidence_exchange evidence_;
     local_ports local_ports_;
     time_point last_tick_;
+    std::uint32_t crash_requests_left_ = 3; ///< questions of this process about requests that crash workers
+    time_point next_crash_request_;
     time_point next_housekeeping_;
     time_point shutdown_started_;
     time_point next_stop_notice_;
--- a/include/waxwingfall/proxy/call_headers.h
+++ b/include/waxwingfall/proxy/call_headers.h
@@ -40,6 +40,8 @@
     "X-Waxwingfall-Pause-Ms"; ///< between nodes: time until a request like the refused one may be admitted
 inline constexpr const char* room_ms =
     "X-Waxwingfall-Room-Ms"; ///< between nodes: time until the client of the refused request may return
+inline constexpr const char* crashed_at =
+    "X-Waxwingfall-Crashed-At"; ///< between nodes: when the worker crashed, by the hybrid clock
 inline constexpr const char* link_backlog_ms =
     "X-Waxwingfall-Link-Backlog-Ms"; ///< between nodes: request bodies that the node's link has to carry
 inline constexpr const char* ends_in_ms =
@@ -96,6 +98,9 @@
 /// Parses the unsigned integer at the start of a header value; returns nothing if there is none.
 std::optional<std::uint32_t> leading_number(std::string_view text);
 
+/// Parses a header value that is an unsigned integer; 0 if it is none.
+std::uint64_t parse_whole_number(std::string_view text);
+
 /// Sets a header and removes all earlier headers of this name.
 void set_header(std::vector<http_header>& headers, std::string_view name, std::string value);
 
--- a/include/waxwingfall/proxy/inbound_proxy.h
+++ b/include/waxwingfall/proxy/inbound_proxy.h
@@ -119,7 +119,8 @@
     bool may_start(const request& open, time_point now) const;
     /// Why a request that has not been sent to the worker can't be, or nothing if it can.
     std::optional<error_kind> refusal_of(const request& open, time_point now) const;
-    /// The same, and decides again about the request's key if a newer contract is enforced by now.
+    /// The same, also for a request like those during which workers crashed. Decides again about the
+    /// request's key if a newer contract is enforced by now.
     std::optional<error_kind> check_before_run(request& open, time_point now);
     std::string health_path() const;
     std::vector<http_header> with_load(std::vector<http_header> headers) const;
@@ -140,7 +141,9 @@
     std::uint64_t next_id_ = 1;
     std::optional<time_point> ends_by_; ///< of the requests that start now; set during a shutdown
     bool healthy_ = true;
+    bool worker_leaves_ = false;      ///< a worker that sends no heartbeats responded that it drains
     bool learned_from_peers_ = false; ///< of the previous process
+    bool is_trial_running_ = false;   ///< of a request like those during which workers crashed
     std::uint32_t failed_probes_ = 0;
     crash_detector crashes_;
     std::map<std::uint64_t, std::string>
--- a/include/waxwingfall/proxy/node_context.h
+++ b/include/waxwingfall/proxy/node_context.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -91,9 +92,33 @@
 /// Counts and logs an entry of the platform's store that can't be read.
 void ignore_entry(node_context& node, const std::string& key, const std::string& reason);
 
-/// Records that a worker crashed while it ran a request. If the crash was not known yet, gossips it to other
-/// nodes and logs when the request becomes quarantined.
-void broadcast_crash(node_context& node, const std::string& fingerprint, member_id worker, time_point now);
+/// Returns the present time of the hybrid clock.
+std::uint64_t hybrid_now(node_context& node);
+
+/// Records that a worker crashed while it ran a request. Like the functions below, gossips news to other
+/// nodes and logs each change that concerns a suspect.
+void report_crash(node_context& node, const std::string& fingerprint, member_id worker,
+                  std::uint64_t crashed_at, time_point now);
+
+/// Records that a suspect request begins to run at the local worker as a trial.
+void report_trial(node_context& node, const std::string& fingerprint, time_point now);
+
+/// Records that a worker has responded to a request that it ran.
+void report_completion(node_context& node, const std::string& fingerprint, time_point now);
+
+/// Adds what another node knows about the requests that were running when workers crashed.
+void handle_crash_record(node_context& node, const wire::crash_record& received, time_point now);
+
+/// Asks some nodes for the records of suspects, which earlier processes of this node knew. False if no other
+/// node is known yet.
+bool request_crash_records(node_context& node);
+
+/// Sends the records of all suspects to the node that asked for them.
+void send_suspect_records(node_context& node, const std::string& address, time_point now);
+
+/// Returns why requests with this fingerprint are refused at `now`, or nothing if they may run.
+std::optional<error_kind> crash_refusal(const quarantine& crashes, const std::string& fingerprint,
+                                        time_point now);
 
 } // namespace waxwingfall
 
--- a/include/waxwingfall/support/error.h
+++ b/include/waxwingfall/support/error.h
@@ -49,6 +49,7 @@
     request_in_progress,
     outcome_unknown,
     answer_not_kept,
+    crash_suspected,
     crash_quarantined,
     worker_unreachable,
     worker_refused,
--- a/lib/call/crash_detector.cpp
+++ b/lib/call/crash_detector.cpp
@@ -27,6 +27,10 @@
     return finding;
 }
 
+bool is_crash_evidence(bool crashed, bool leaving) {
+    return crashed && !leaving;
+}
+
 crash_finding apply_sign_of_life(crash_detector& state, time_point sent_at, time_point now) {
     crash_finding finding;
     const auto undecided = std::find_if(state.broken_at.begin(), state.broken_at.end(), [&](time_point at) {
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds housekeeping_period{5000};
 constexpr milliseconds idle_peer_timeout{60'000};
 constexpr milliseconds stop_notice_period{500};
+/// Between the questions of a new process about requests that crash workers, until one is surely answered.
+constexpr milliseconds crash_request_period{1000};
 
 std::string join_names(const std::vector<std::string>& names) {
     std::string text;
@@ -124,8 +126,11 @@
     case wire::frame::kFreshnessAnswer:
         record_peer(context_.evidence, frame.freshness_answer(), boottime_now());
         break;
-    case wire::frame::kQuarantine:
-        broadcast_crash(context_, frame.quarantine().fingerprint(), frame.quarantine().worker(), now);
+    case wire::frame::kCrashRecord:
+        handle_crash_record(context_, frame.crash_record(), now);
+        break;
+    case wire::frame::kCrashRecordsRequest:
+        send_suspect_records(context_, frame.reply_to(), now);
         break;
     case wire::frame::kStopNotice:
         inbound_proxy_.handle_stop_notice(frame.stop_notice(), now);
@@ -227,6 +232,10 @@
     platform_.tick(now);
     leaves_.tick(now);
     evidence_.tick(boottime_now());
+    if (crash_requests_left_ > 0 && now >= next_crash_request_ && request_crash_records(context_)) {
+        crash_requests_left_ -= 1;
+        next_crash_request_ = now + crash_request_period;
+    }
     if (now >= next_housekeeping_) {
         next_housekeeping_ = now + housekeeping_period;
         context_.link->close_idle(now, idle_peer_timeout);
--- a/lib/proxy/call_attempts.cpp
+++ b/lib/proxy/call_attempts.cpp
@@ -154,6 +154,7 @@
         active.refused = result == outcome_name(outcome::not_run) || !workers_.may_have_run(active.upstream);
         active.refusal = read_reason(headers);
         active.crashed = active.refusal == error_kind::worker_crashed;
+        active.crashed_at = parse_whole_number(header_value(headers, call_header::crashed_at));
         active.status = 0;
         return;
     }
@@ -255,8 +256,11 @@
                                   : is_full     ? attempt_result::refused
                                                 : attempt_result::failed;
     end_attempt(node_.routing, ended.service->name, ended.endpoint, result, ended.report, now);
+    const std::string& fingerprint = ended.received.fingerprint;
     if (ended.crashed) {
-        broadcast_crash(node_, ended.received.fingerprint, ended.endpoint, now);
+        report_crash(node_, fingerprint, ended.endpoint, ended.crashed_at, now);
+    } else if (end == upstream_end::complete && (has_response || ended.action != response_action::forward)) {
+        report_completion(node_, fingerprint, now);
     }
     if (has_response) {
         finish(id);
@@ -306,7 +310,8 @@
                               failed.max_attempts,
                               failed.inside_retry,
                               failed.deadline,
-                              is_quarantined(node_.crashes, failed.received.fingerprint, now),
+                              run_verdict_of(node_.crashes, failed.received.fingerprint, now) !=
+                                  run_verdict::run,
                               failed.attempted_endpoints.size()};
     return is_retry_allowed(inputs, now);
 }
--- a/lib/proxy/call_headers.cpp
+++ b/lib/proxy/call_headers.cpp
@@ -122,6 +122,13 @@
     return read.ec == std::errc{} ? std::optional(value) : std::nullopt;
 }
 
+std::uint64_t parse_whole_number(std::string_view text) {
+    std::uint64_t value = 0;
+    const char* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    return parsed.ec == std::errc{} && parsed.ptr == end ? value : 0;
+}
+
 void set_header(std::vector<http_header>& headers, std::string_view name, std::string value) {
     std::erase_if(headers, [&](const http_header& header) { return equal_ignoring_case(header.name, name); });
     headers.push_back({std::string(name), std::move(value)});
--- a/lib/proxy/call_state.h
+++ b/lib/proxy/call_state.h
@@ -69,7 +69,8 @@
     std::optional<silent_attempt> silent; ///< beside the current attempt
     bool refused = false;                 ///< the worker's node refused the current attempt
     bool past_objective = false;          ///< at the start of the current attempt
-    bool crashed = false; ///< the worker's node saw the worker crash during the current attempt
+    bool crashed = false;         ///< the worker's node saw the worker crash during the current attempt
+    std::uint64_t crashed_at = 0; ///< when, by the hybrid clock of that node; 0 if it did not say
     error_kind refusal = error_kind::overloaded;
     endpoint_report report;
     std::optional<milliseconds> room_in; ///< the shortest that a refusal of this call stated
--- a/lib/proxy/customer_headers.cpp
+++ b/lib/proxy/customer_headers.cpp
@@ -1,7 +1,6 @@
 #include "waxwingfall/proxy/customer_headers.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "waxwingfall/contract/snapshot.h"
 #include "waxwingfall/proxy/downstream.h"
@@ -30,14 +29,6 @@
     return values;
 }
 
-/// Parses the version of a contract in a header; 0 if it is not a number.
-std::uint64_t parse_version(const std::string& text) {
-    std::uint64_t version = 0;
-    const char* const end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, version);
-    return parsed.ec == std::errc{} && parsed.ptr == end ? version : 0;
-}
-
 } // namespace
 
 std::optional<error_kind> authorize_request(const node_context& node, const route_contract& route,
@@ -101,7 +92,7 @@
     credentials.is_nested = exemption == "nested";
     credentials.extends_running_id = credentials.is_nested;
     credentials.is_public = exemption == "public";
-    credentials.version = parse_version(value_of(call_header::key_version));
+    credentials.version = parse_whole_number(value_of(call_header::key_version));
     return credentials;
 }
 
--- a/lib/proxy/inbound_proxy.cpp
+++ b/lib/proxy/inbound_proxy.cpp
@@ -107,16 +107,11 @@
     request& arrived = *requests_.at(id);
     arrived.client->acknowledge();
     arrived.received = read_request(*exchange);
-    const std::string fingerprint = arrived.received.fingerprint;
     const auto relayed = platform::decode_rate_limit(exchange->header(call_header::rate_limit));
     if (relayed && record_relayed_limit(node_.worker, *relayed)) {
         apply_rate_limit("peer");
     }
     apply_admission_limits();
-    if (is_quarantined(node_.crashes, fingerprint, now)) {
-        refuse(id, error_kind::crash_quarantined);
-        return;
-    }
     if (const auto refusal = check_before_run(*requests_.at(id), now)) {
         refuse(id, *refusal);
         return;
@@ -185,8 +180,18 @@
 }
 
 std::optional<error_kind> inbound_proxy::check_before_run(request& open, time_point now) {
-    const auto refusal = refusal_of(open, now);
-    return refusal ? refusal : reauthorize_request(node_, open.received, open.credentials);
+    if (const auto refusal = refusal_of(open, now)) {
+        return refusal;
+    }
+    const std::string& fingerprint = open.received.fingerprint;
+    if (const auto refusal = crash_refusal(node_.crashes, fingerprint, now)) {
+        return refusal;
+    }
+    // Beside another suspect, a crash would not show which of the two caused it.
+    if (is_trial_running_ && run_verdict_of(node_.crashes, fingerprint, now) == run_verdict::trial) {
+        return error_kind::crash_suspected;
+    }
+    return reauthorize_request(node_, open.received, open.credentials);
 }
 
 void inbound_proxy::run(std::uint64_t id) {
@@ -198,6 +203,12 @@
         refuse(id, *refusal);
         return;
     }
+    const std::string& fingerprint = started.received.fingerprint;
+    if (run_verdict_of(node_.crashes, fingerprint, now) == run_verdict::trial) {
+        report_trial(node_, fingerprint, now);
+        started.is_trial = true;
+        is_trial_running_ = true;
+    }
     started.running = true;
     started.run_id = header_value(started.received.request.headers, platform::header::attempt_id);
     track_run(node_.running, started.run_id);
@@ -283,6 +294,9 @@
         failed_probes_ = 0;
         assert(ended.client->has_started() && "a complete response has a head");
         record_pace(ended, result_of_status(ended.status));
+        if (!ended.worker_refused) {
+            report_completion(node_, ended.received.fingerprint, monotonic_now());
+        }
         ended.client->end();
         const time_point sent_at = ended.started_at;
         remove(id);
@@ -334,6 +348,9 @@
         if (kind == error_kind::overloaded) {
             add_return_times(headers, failed, monotonic_now());
         }
+        if (failed.crashed_at != 0) {
+            headers.push_back({call_header::crashed_at, std::to_string(failed.crashed_at)});
+        }
         if (kind == error_kind::worker_failed && failed.was_reset_unanswered) {
             headers.push_back({call_header::pause_ms, std::to_string(full_worker_pause.count())});
         }
@@ -354,6 +371,9 @@
     if (removed->large_response) {
         settle_large_response(link_, removed->response_bytes);
     }
+    if (removed->is_trial) {
+        is_trial_running_ = false;
+    }
     if (removed->running) {
         untrack_run(node_.running, removed->run_id);
         const milliseconds ran(std::max<std::int64_t>(1, elapsed_ms(removed->started_at, now)));
--- a/lib/proxy/inbound_request.h
+++ b/lib/proxy/inbound_request.h
@@ -24,6 +24,8 @@
     std::string run_id;    ///< of the request while it runs; empty if it has none
     std::string worker_id; ///< to which it was sent; empty if the worker has reported none
     bool worker_refused = false;
+    bool is_trial = false;             ///< like it, others ran when workers crashed; see `quarantine`
+    std::uint64_t crashed_at = 0;      ///< when the worker crashed, by the hybrid clock; 0 if it did not
     int status = 0;                    ///< of the worker's response; 0 before its head
     time_point responded_at;           ///< when the head came; a slow client delays only what follows
     bool large_response = false;       ///< holds a reservation in `link_`
--- a/lib/proxy/node_context.cpp
+++ b/lib/proxy/node_context.cpp
@@ -83,28 +83,130 @@
     node.log.write(event_id::platform_entry_ignored, wall_now(), {{"key", key}, {"why", reason}});
 }
 
-void broadcast_crash(node_context& node, const std::string& fingerprint, member_id worker, time_point now) {
-    if (!record_crash(node.crashes, fingerprint, worker, now)) {
-        return;
+namespace {
+
+std::string_view name_of(run_verdict verdict) {
+    switch (verdict) {
+    case run_verdict::run:
+        return "run";
+    case run_verdict::trial:
+        return "trial";
+    case run_verdict::awaiting_trial:
+        return "awaiting-trial";
+    case run_verdict::refuse:
+        return "refuse";
     }
+    return "run";
+}
+
+/// Sends what is known about a fingerprint to the nodes that this one gossips with.
+void share_crash_record(node_context& node, const std::string& fingerprint) {
     wire::frame frame;
-    frame.mutable_quarantine()->set_fingerprint(fingerprint);
-    frame.mutable_quarantine()->set_worker(worker);
-    std::vector<outgoing> messages;
+    *frame.mutable_crash_record() = encode_crash_record(node.crashes, fingerprint);
     const membership& nodes = node.control.nodes;
     std::vector<member_id> targets = fingers(nodes);
     if (local_bridge_rank(nodes)) {
         const auto remote = remote_bridges(nodes);
         targets.insert(targets.end(), remote.begin(), remote.end());
     }
+    std::vector<outgoing> messages;
     messages.reserve(targets.size());
     for (const member_id target : targets) {
         messages.push_back({nodes.members.at(target).control_address, frame});
     }
     send_all(node, std::move(messages));
-    if (crash_count(node.crashes, fingerprint, now) == node.crashes.policy.crashes_to_refuse) {
-        node.log.write(event_id::request_quarantined, wall_now(), {{"fingerprint", to_hex(fingerprint)}});
+}
+
+/// Applies `change`, which returns true if it was news, and passes news on.
+template <typename Change>
+void change_crash_record(node_context& node, const std::string& fingerprint, time_point now, Change change) {
+    const run_verdict before = run_verdict_of(node.crashes, fingerprint, now);
+    if (!change()) {
+        return;
+    }
+    share_crash_record(node, fingerprint);
+    const run_verdict after = run_verdict_of(node.crashes, fingerprint, now);
+    if (before == after) {
+        return;
+    }
+    const crash_record& record = node.crashes.records.at(fingerprint);
+    node.log.write(event_id::request_quarantined, wall_now(),
+                   {{"fingerprint", to_hex(fingerprint)},
+                    {"verdict", std::string(name_of(after))},
+                    {"workers", std::to_string(record.crashes.size())},
+                    {"trials", std::to_string(record.trials.size())}});
+}
+
+} // namespace
+
+std::uint64_t hybrid_now(node_context& node) {
+    return tick_clock(node.log.clock(), wall_now());
+}
+
+void report_crash(node_context& node, const std::string& fingerprint, member_id worker,
+                  std::uint64_t crashed_at, time_point now) {
+    change_crash_record(node, fingerprint, now,
+                        [&] { return record_crash(node.crashes, fingerprint, worker, crashed_at, now); });
+}
+
+void report_trial(node_context& node, const std::string& fingerprint, time_point now) {
+    change_crash_record(node, fingerprint, now, [&] {
+        record_trial(node.crashes, fingerprint, node.control.nodes.self.id, hybrid_now(node), now);
+        return true;
+    });
+}
+
+void report_completion(node_context& node, const std::string& fingerprint, time_point now) {
+    if (!node.crashes.records.contains(fingerprint)) {
+        return;
+    }
+    change_crash_record(node, fingerprint, now,
+                        [&] { return record_completion(node.crashes, fingerprint, hybrid_now(node)); });
+}
+
+void handle_crash_record(node_context& node, const wire::crash_record& received, time_point now) {
+    change_crash_record(node, received.fingerprint(), now,
+                        [&] { return merge_crash_record(node.crashes, received, now); });
+}
+
+bool request_crash_records(node_context& node) {
+    constexpr std::size_t asked_nodes = 3;
+    wire::frame frame;
+    frame.mutable_crash_records_request();
+    std::vector<outgoing> messages;
+    const membership& nodes = node.control.nodes;
+    for (const member_id target : fingers(nodes)) {
+        if (messages.size() < asked_nodes) {
+            messages.push_back({nodes.members.at(target).control_address, frame});
+        }
+    }
+    const bool is_sent = !messages.empty();
+    send_all(node, std::move(messages));
+    return is_sent;
+}
+
+void send_suspect_records(node_context& node, const std::string& address, time_point now) {
+    std::vector<outgoing> messages;
+    for (wire::crash_record& record : suspect_records(node.crashes, now)) {
+        wire::frame frame;
+        *frame.mutable_crash_record() = std::move(record);
+        messages.push_back({address, std::move(frame)});
+    }
+    send_all(node, std::move(messages));
+}
+
+std::optional<error_kind> crash_refusal(const quarantine& crashes, const std::string& fingerprint,
+                                        time_point now) {
+    switch (run_verdict_of(crashes, fingerprint, now)) {
+    case run_verdict::run:
+    case run_verdict::trial:
+        return std::nullopt;
+    case run_verdict::awaiting_trial:
+        return error_kind::crash_suspected;
+    case run_verdict::refuse:
+        return error_kind::crash_quarantined;
     }
+    return std::nullopt;
 }
 
 } // namespace waxwingfall
--- a/lib/support/error.cpp
+++ b/lib/support/error.cpp
@@ -81,6 +81,8 @@
                "the request may have run and will not be run again"},
     error_info{answer_not_kept, "answer-not-kept", 409, outcome::done, exit_refused,
                "the request ran once, and its answer was too large to keep"},
+    error_info{crash_suspected, "crash-suspected", 503, outcome::not_run, exit_unavailable,
+               "a request like this one runs on trial, since workers crashed under such requests"},
     error_info{crash_quarantined, "crash-quarantined", 422, outcome::not_run, exit_refused,
                "requests like this one crashed workers"},
     error_info{worker_unreachable, "worker-unreachable", 503, outcome::not_run, exit_unavailable,
--- a/unittests/processes/test_calls.py
+++ b/unittests/processes/test_calls.py
@@ -252,6 +252,44 @@
         self.assertEqual(len([node for node in self.mesh.nodes if not node.worker.alive()]), len(crashed))
         self.assertEqual(request(self.mesh.nodes[0].calls, "/plots?crash=", headers=HOST)[0], 200)
 
+    def test_a_popular_request_is_served_after_crashes(self):
+        workers = [node for node in self.mesh.nodes if node.service == "rezervacijas"]
+        statuses, done = [], threading.Event()
+
+        def look_up(index):
+            while not done.is_set():
+                try:
+                    status, headers, _ = request(self.mesh.nodes[index % 9].calls, "/plots?run_ms=200", headers=HOST)
+                except (OSError, http.client.HTTPException):
+                    status, headers = 0, {}
+                statuses.append(status)
+                if status != 200:
+                    time.sleep(float(headers.get("Retry-After", "0.2")))
+                index += 1
+
+        threads = [threading.Thread(target=look_up, args=(index,)) for index in range(12)]
+        for thread in threads:
+            thread.start()
+        for crashed in workers[:2] * 2:
+            time.sleep(2)
+            crashed.worker.kill()
+            time.sleep(0.5)
+            crashed.start_worker()
+        # A request that does crash workers comes beside it.
+        for node in self.mesh.nodes[:3]:
+            try:
+                request(node.calls, "/plots?crash=1", headers=HOST)
+            except (OSError, http.client.HTTPException):
+                pass
+        time.sleep(2)
+        done.set()
+        for thread in threads:
+            thread.join()
+        self.assertNotIn(422, statuses)
+        self.assertGreater(statuses.count(200), len(statuses) * 0.9)
+        wait_for(lambda: all(request(node.calls, "/plots?crash=1", headers=HOST)[1]["X-Waxwingfall-Reason"] ==
+                             "crash-quarantined" for node in self.mesh.nodes), 5, "every node refuses the harmful request")
+
     def test_a_silent_attempt_is_awaited_beside_the_next_one(self):
         # The node beside one worker is paused for longer than another attempt waits, the other one refuses connections.
         caller = next(node for node in self.mesh.nodes if node.service == "tirdznieciba")
