worker view: one answer to which service runs beside a node

Cause: X-Caller came from the settings of the start. Routing used the worker's report, the health path and the limits the member record; a reload left worker.service to the next start.

Evidence: worker-reported names the new worker, settings-reloaded lists `worker` for the next start, and the worker receives X-Caller of the old service.

Why the fix works: `local_service` is asked by all of them: the worker's report while it is there; once it has gone, the settings if they have named another service since it came. A call keeps the service of its arrival. worker.service applies on a reload, also without heartbeats. Run times are forgotten with their service.

--- a/include/waxwingfall/call/admission.h
+++ b/include/waxwingfall/call/admission.h
@@ -105,6 +105,9 @@
 /// Drops requests that were displaced or whose deadline has passed, and fills free slots.
 queue_update process_queue(admission& state, time_point now);
 
+/// Forgets the run times of earlier requests, which say nothing about those of another service.
+void forget_run_times(admission& state);
+
 /// Removes a waiting request from the queue; false if it does not wait.
 bool remove_waiting(admission& state, std::uint64_t id);
 
--- a/include/waxwingfall/call/worker_view.h
+++ b/include/waxwingfall/call/worker_view.h
@@ -15,8 +15,10 @@
 
 /// What a node knows of its worker, from heartbeats and from the state of its connections.
 struct worker_view {
-    std::string address;   ///< of the worker; reports from other addresses are rejected
-    std::string worker_id; ///< empty until the worker has sent a report
+    std::string address;            ///< of the worker; reports from other addresses are rejected
+    std::string configured_service; ///< that the settings name
+    bool configured_later = false;  ///< the settings have named it since the current worker's first report
+    std::string worker_id;          ///< empty until the worker has sent a report
     std::optional<worker_report> latest_report;
     /// Workers whose leave an earlier process of this node acknowledged, with their incarnation, 0 if
     /// unknown.
@@ -45,6 +47,14 @@
 /// Applies a report. Reports of an earlier incarnation and late ones of this incarnation change nothing.
 report_verdict update_worker_view(worker_view& view, const worker_report& report, time_point now);
 
+/// Records the service that the settings name, at the start and after each reload.
+void configure_service(worker_view& view, const std::string& service);
+
+/// Returns the service that runs on the node's machine. While a worker is there, its own report says so,
+/// since the settings state what the operator has planned, maybe for its successor. Once it has left or can't
+/// be reached, the settings do if they have named another service since the worker came.
+const std::string& local_service(const worker_view& view);
+
 /// Marks the leaves that earlier processes of this node acknowledged as unknown. Until they are known, or
 /// until no heartbeat from before the start of this process can arrive any more, workers are not used.
 void await_leaves(worker_view& view, time_point now);
--- a/include/waxwingfall/node/reload.h
+++ b/include/waxwingfall/node/reload.h
@@ -16,9 +16,9 @@
     auto operator<=>(const reload_plan&) const = default;
 };
 
-/// Compares the current settings with those just read. The drain and shutdown times, the retry limits and the
-/// platform address take effect immediately. The node's identity, its bound addresses, the worker, the other
-/// policies, the size limits and the client timeout take effect at the next start.
+/// Compares the current settings with those just read. The worker's service, the drain and shutdown times,
+/// the retry limits, the pace and the platform address take effect immediately, all else at the next start.
+/// Each changed setting is named in one of the two lists.
 reload_plan plan_reload(const node_settings& current, const node_settings& updated);
 
 } // namespace waxwingfall
--- a/include/waxwingfall/proxy/inbound_proxy.h
+++ b/include/waxwingfall/proxy/inbound_proxy.h
@@ -53,6 +53,9 @@
     /// none.
     void restore_leave(const std::optional<left_worker>& left);
 
+    /// Applies the service that the settings name; to be called after each reload.
+    void apply_configured_service();
+
     /// Processes a heartbeat or a leave report of the worker.
     report_verdict handle_worker_report(const worker_report& report);
 
@@ -130,6 +133,7 @@
     pace_state pace_;               ///< kept up to date with either setting, so that a reload can switch
     std::string paced_worker_;      ///< id of the worker that `pace_` belongs to
     std::uint64_t paced_start_ = 0; ///< incarnation of that worker
+    std::string timed_service_;     ///< whose run times `admission_` holds
     link_share link_;
     return_schedule returns_; ///< of clients that a full queue refused
     upload_budget uploads_;
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -324,6 +324,11 @@
     return update;
 }
 
+void forget_run_times(admission& state) {
+    state.mean_run_ms = 0;
+    state.run_times_by_priority.clear();
+}
+
 bool remove_waiting(admission& state, std::uint64_t id) {
     const auto found = std::find_if(state.waiting.begin(), state.waiting.end(),
                                     [&](const waiting_request& request) { return request.id == id; });
--- a/lib/call/worker_view.cpp
+++ b/lib/call/worker_view.cpp
@@ -73,7 +73,11 @@
     if (view.deferred_report && view.deferred_report->worker_id == report.worker_id) {
         view.deferred_report.reset();
     }
-    if (!is_same_worker(view, report)) {
+    const bool is_successor = !is_same_worker(view, report);
+    if (is_successor || report.service == view.configured_service) {
+        view.configured_later = false;
+    }
+    if (is_successor) {
         if (!view.worker_id.empty() && view.worker_id != report.worker_id) {
             view.replaced_ids.insert(view.worker_id);
         }
@@ -97,6 +101,21 @@
     return report_verdict::applied;
 }
 
+void configure_service(worker_view& view, const std::string& service) {
+    if (view.configured_service != service) {
+        view.configured_service = service;
+        view.configured_later = true;
+    }
+}
+
+const std::string& local_service(const worker_view& view) {
+    if (!view.latest_report || view.latest_report->service.empty()) {
+        return view.configured_service;
+    }
+    const bool is_present = view.reachable && view.latest_report->state != worker_state::left;
+    return view.configured_later && !is_present ? view.configured_service : view.latest_report->service;
+}
+
 void await_leaves(worker_view& view, time_point now) {
     view.leaves_known = false;
     view.reports_trusted_at = now + max_report_delay;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -274,6 +274,7 @@
             BOOST_LEAF_AUTO(updated, parse_settings(*text, path));
             const reload_plan plan = plan_reload(settings_, updated);
             settings_ = plan.merged;
+            inbound_proxy_.apply_configured_service();
             platform_.update_platform_address();
             leaves_.update_platform_address();
             context_.log.write(
--- a/lib/proxy/call_attempts.cpp
+++ b/lib/proxy/call_attempts.cpp
@@ -74,7 +74,7 @@
     http_request sent = placed.received.request;
     const auto remaining_ms = std::max<std::int64_t>(1, elapsed_ms(now, placed.deadline));
     set_header(sent.headers, call_header::deadline_ms, std::to_string(remaining_ms));
-    set_header(sent.headers, platform::header::client_service, node_.settings.service);
+    set_header(sent.headers, platform::header::client_service, placed.client_service);
     set_header(sent.headers, call_header::service, service);
     set_header(sent.headers, call_header::priority, std::to_string(placed.priority));
     add_credentials(node_, sent.headers, placed.credentials, boottime_now());
--- a/lib/proxy/call_proxy.cpp
+++ b/lib/proxy/call_proxy.cpp
@@ -40,6 +40,7 @@
     auto new_call = std::make_unique<call>();
     new_call->received_at = monotonic_now();
     new_call->received = read_request(*exchange);
+    new_call->client_service = local_service(node_.worker);
     new_call->credentials.extends_running_id = extends_running_id(node_.running, request_id(*new_call));
     new_call->client = std::make_unique<downstream>(std::move(exchange), node_.unsent);
     new_call->has_key = has_idempotency_key(new_call->received.method, new_call->received.request.headers);
--- a/lib/proxy/call_state.h
+++ b/lib/proxy/call_state.h
@@ -31,6 +31,7 @@
 struct call_proxy::call {
     received_request received;
     std::unique_ptr<downstream> client;
+    std::string client_service;               ///< that ran on this machine when the call arrived
     std::shared_ptr<const contract> document; ///< active when the call arrived
     std::uint64_t version = 0;
     const route_contract* route = nullptr;
--- a/lib/proxy/inbound_proxy.cpp
+++ b/lib/proxy/inbound_proxy.cpp
@@ -62,19 +62,18 @@
 }
 
 void inbound_proxy::apply_admission_limits() {
-    const service_contract* local_service =
-        node_.active_contract ? find_service(*node_.active_contract, node_.control.nodes.self.service)
-                              : nullptr;
+    const service_contract* known =
+        node_.active_contract ? find_service(*node_.active_contract, local_service(node_.worker)) : nullptr;
     std::uint32_t& slots = admission_.unpaced_slots;
     slots = node_.worker.latest_report ? node_.worker.latest_report->slots : node_.settings.slots;
     admission_.queue_limit = default_queue_limit;
     if (admission_.limit.per_s != node_.worker.rate_limit) {
         set_rate(admission_.limit, node_.worker.rate_limit, monotonic_now());
     }
-    if (local_service != nullptr) {
-        admission_.queue_limit = local_service->queue;
-        if (local_service->in_flight > 0) {
-            slots = std::min(slots, local_service->in_flight);
+    if (known != nullptr) {
+        admission_.queue_limit = known->queue;
+        if (known->in_flight > 0) {
+            slots = std::min(slots, known->in_flight);
         }
     }
     apply_pace(monotonic_now());
@@ -174,8 +173,7 @@
     if (node_.settings.heartbeats) {
         return find_refusal(node_.worker, open.service, node_.settings.drain, now);
     }
-    const bool is_for_other_service =
-        !open.service.empty() && open.service != node_.control.nodes.self.service;
+    const bool is_for_other_service = !open.service.empty() && open.service != local_service(node_.worker);
     return is_for_other_service ? std::optional(error_kind::leaving) : std::nullopt;
 }
 
--- a/lib/proxy/node_context.cpp
+++ b/lib/proxy/node_context.cpp
@@ -41,6 +41,7 @@
     records.process_incarnation = random() | 1U;
     evidence = start_freshness(settings.revoke, boottime_now(), random);
     worker.address = to_string(node_settings.worker);
+    configure_service(worker, node_settings.service);
     if (settings.heartbeats && !settings.is_first_start) {
         await_leaves(worker, monotonic_now());
     }
--- a/lib/proxy/worker_health.cpp
+++ b/lib/proxy/worker_health.cpp
@@ -86,10 +86,9 @@
 }
 
 std::string inbound_proxy::health_path() const {
-    const service_contract* local_service =
-        node_.active_contract ? find_service(*node_.active_contract, node_.control.nodes.self.service)
-                              : nullptr;
-    return local_service == nullptr ? std::string("/health") : local_service->health_path;
+    const service_contract* known =
+        node_.active_contract ? find_service(*node_.active_contract, local_service(node_.worker)) : nullptr;
+    return known == nullptr ? std::string("/health") : known->health_path;
 }
 
 report_verdict inbound_proxy::handle_worker_report(const worker_report& report) {
@@ -196,6 +195,10 @@
         paced_worker_ = worker.worker_id;
         paced_start_ = start;
         pace_ = {};
+        if (timed_service_ != local_service(worker)) {
+            timed_service_ = local_service(worker);
+            forget_run_times(admission_);
+        }
     }
     if (worker.latest_report) {
         set_warm_up(pace_, worker.latest_report->warm_up_left, worker.last_report_at);
@@ -233,11 +236,7 @@
         node_.worker.latest_report ? node_.worker.latest_report->slots : node_.settings.slots;
     const std::uint32_t slots = accepts_work ? reported : 0;
     membership& nodes = node_.control.nodes;
-    // The service reported by the worker takes precedence over the settings, because addresses are reused by
-    // other services.
-    const std::string service = node_.worker.latest_report && !node_.worker.latest_report->service.empty()
-                                    ? node_.worker.latest_report->service
-                                    : nodes.self.service;
+    const std::string& service = local_service(node_.worker);
     const bool has_left = node_.worker.leaving && nodes.self.left_worker != node_.worker.worker_id;
     if ((nodes.self.slots == slots && nodes.self.service == service && !has_left) || has_withdrawn) {
         return;
@@ -251,6 +250,22 @@
     publish_state(accepts_work, slots, reason);
 }
 
+void inbound_proxy::apply_configured_service() {
+    configure_service(node_.worker, node_.settings.service);
+    if (node_.settings.heartbeats) {
+        publish_worker("configured");
+        return;
+    }
+    membership& nodes = node_.control.nodes;
+    const bool has_withdrawn = nodes.self.state == member_state::leaving;
+    if (nodes.self.service != node_.settings.service && !has_withdrawn) {
+        nodes.self.service = node_.settings.service;
+        pace_ = {};
+        forget_run_times(admission_);
+        publish_state(healthy_, nodes.self.slots, "configured");
+    }
+}
+
 void inbound_proxy::publish_state(bool healthy, std::uint32_t slots, const std::string& reason) {
     healthy_ = healthy;
     node_.log.write(event_id::worker_health_changed, wall_now(), {{"health", reason}});
--- a/unittests/call/worker_view_test.cpp
+++ b/unittests/call/worker_view_test.cpp
@@ -248,3 +248,53 @@
     update_worker_view(view, next, start);
     EXPECT_FALSE(find_leave(view, leave(100)));
 }
+
+// Guards against requests that name the service of a worker that has gone, and against a worker that is still
+// there being taken for its planned successor.
+TEST(WorkerView, LocalServiceIsThatOfTheWorkerThatIsThere) {
+    const auto named = [](const char* id, const char* service, std::uint64_t incarnation) {
+        worker_report sent = report(incarnation, 1);
+        sent.worker_id = id;
+        sent.service = service;
+        return sent;
+    };
+    worker_view view = fresh_view();
+    configure_service(view, "first");
+    EXPECT_EQ(local_service(view), "first") << "before any report";
+    update_worker_view(view, named("i-1", "first", 100), start);
+    configure_service(view, "second");
+    EXPECT_EQ(local_service(view), "first") << "the first worker is still there";
+    update_worker_view(view, report(100, 2), start);
+    mark_unreachable(view);
+    EXPECT_EQ(local_service(view), "second") << "between the two workers";
+    update_worker_view(view, named("i-2", "second", 200), start);
+    EXPECT_EQ(local_service(view), "second");
+    update_worker_view(view, named("i-3", "third", 300), start);
+    EXPECT_EQ(local_service(view), "third") << "settings that nobody changed name an earlier service";
+    mark_unreachable(view);
+    EXPECT_EQ(local_service(view), "third");
+    worker_report left = leave();
+    left.worker_id = "i-3";
+    update_worker_view(view, left, start);
+    EXPECT_EQ(local_service(view), "third");
+    configure_service(view, "fourth");
+    EXPECT_EQ(local_service(view), "fourth");
+}
+
+TEST(WorkerView, LocalServiceFollowsTheWorkerInEitherOrderOfSettingsAndReports) {
+    for (const bool settings_first : {false, true}) {
+        worker_view view = fresh_view();
+        configure_service(view, "first");
+        update_worker_view(view, report(100, 1), start);
+        worker_report successor = report(200, 1);
+        successor.service = "second";
+        if (settings_first) {
+            configure_service(view, "second");
+        }
+        update_worker_view(view, successor, start);
+        configure_service(view, "second");
+        EXPECT_EQ(local_service(view), "second");
+        mark_unreachable(view);
+        EXPECT_EQ(local_service(view), "second");
+    }
+}
