credentials: evidence is decided once for each attempt

Cause: the attempt read the clock in `decide_credentials`, and again in `add_credentials`; the evidence lapsed in between, and the customer's name was removed, as for a public route, from a request that was sent all the same.

Why the fix works: `check_evidence` stores its result, and `add_credentials` has neither a clock nor a node. lib/call and lib/cluster read no clock (searched); the other readings of the boot clock belong to one decision each.

The test could not be expressed before, since the second decision took its own time.

--- a/include/waxwingfall/proxy/customer_headers.h
+++ b/include/waxwingfall/proxy/customer_headers.h
@@ -20,6 +20,7 @@
     bool extends_running_id = false;       ///< its id extends that of a request that the local worker runs
     bool is_nested = false;                ///< admitted as a call of the local worker
     bool is_public = false;                ///< its route needs no key
+    bool is_verified = true;               ///< by the last `check_evidence`; the key's customer may be named
     std::uint64_t version = 0;             ///< of the contract that decided about the key; 0 if none did
     std::optional<std::uint32_t> priority; ///< of the customer, if it has one
     auto operator<=>(const request_credentials&) const = default;
@@ -37,20 +38,20 @@
 /// requests need keys.
 bool needs_evidence(const node_context& node);
 
-/// Returns the refusal of a request with a key at a node without valid evidence at `now`. Nested and public
-/// requests need none.
+/// Decides whether this node has valid evidence for the key of a request at `now`, if it needs any, and
+/// stores this in `credentials`. Returns the refusal of a request that needs evidence where there is none.
+/// Nested and public requests need none.
 ///
 /// Only the client's node checks this, before each attempt, and not the worker's node when the request leaves
 /// its queue: the bound holds for the moment at which the client sends its request, which lies before the
 /// check here. Evidence that is valid then proves that the key was not removed longer than the bound before,
 /// however long the request waits afterwards.
-std::optional<error_kind> check_evidence(const node_context& node, const request_credentials& credentials,
+std::optional<error_kind> check_evidence(const node_context& node, request_credentials& credentials,
                                          boot_time now);
 
 /// Adds the headers by which the worker's node can decide again under a newer contract. A public request
-/// whose key this node can't verify at `now` is sent without the name of the customer.
-void add_credentials(const node_context& node, std::vector<http_header>& headers,
-                     const request_credentials& credentials, boot_time now);
+/// whose key was not verified is sent without the name of the customer.
+void add_credentials(std::vector<http_header>& headers, const request_credentials& credentials);
 
 /// Reads these headers. `value_of` returns the value of a header, empty if it is absent. Without them, which
 /// means a sender that knows no customers, the version is 0, so that each contract of this node is newer.
--- a/lib/proxy/call_attempts.cpp
+++ b/lib/proxy/call_attempts.cpp
@@ -77,7 +77,7 @@
     set_header(sent.headers, platform::header::client_service, placed.client_service);
     set_header(sent.headers, call_header::service, service);
     set_header(sent.headers, call_header::priority, std::to_string(placed.priority));
-    add_credentials(node_, sent.headers, placed.credentials, boottime_now());
+    add_credentials(sent.headers, placed.credentials);
     const auto objective = remaining_objective(placed, now);
     if (objective) {
         set_header(sent.headers, call_header::objective_ms, std::to_string(objective->count()));
--- a/lib/proxy/customer_headers.cpp
+++ b/lib/proxy/customer_headers.cpp
@@ -60,18 +60,18 @@
     return node.evidence.revoke.count() > 0 && requires_keys(node.credentials);
 }
 
-std::optional<error_kind> check_evidence(const node_context& node, const request_credentials& credentials,
+std::optional<error_kind> check_evidence(const node_context& node, request_credentials& credentials,
                                          boot_time now) {
-    const bool uses_key = credentials.presented.form == credential_form::key && !credentials.is_public;
-    const bool is_refused =
-        uses_key && needs_evidence(node) && !is_verified(node.evidence, node.version, now);
+    const bool has_key = credentials.presented.form == credential_form::key;
+    credentials.is_verified =
+        !has_key || !needs_evidence(node) || is_verified(node.evidence, node.version, now);
+    const bool is_refused = !credentials.is_verified && !credentials.is_public;
     return is_refused ? std::optional(error_kind::configuration_unverified) : std::nullopt;
 }
 
-void add_credentials(const node_context& node, std::vector<http_header>& headers,
-                     const request_credentials& credentials, boot_time now) {
+void add_credentials(std::vector<http_header>& headers, const request_credentials& credentials) {
     const bool has_key = credentials.presented.form == credential_form::key;
-    if (has_key && needs_evidence(node) && !is_verified(node.evidence, node.version, now)) {
+    if (!credentials.is_verified) {
         remove_header(headers, platform::header::tenant);
     }
     headers.push_back({call_header::key_version, std::to_string(credentials.version)});
--- a/unittests/proxy/customer_headers_test.cpp
+++ b/unittests/proxy/customer_headers_test.cpp
@@ -68,7 +68,7 @@
 std::optional<error_kind> relay(const tested_node& receiver, const headers& sent,
                                 const request_credentials& sender, headers& delivered) {
     headers between = sent;
-    add_credentials(receiver.context(), between, sender, boottime_now());
+    add_credentials(between, sender);
     request_credentials read =
         read_credentials([&](const char* name) { return header_value(between, name); });
     received_request request;
@@ -91,7 +91,7 @@
     request_credentials credentials;
     EXPECT_FALSE(authorize_request(node.context(), node.route(0), sent, credentials));
     EXPECT_EQ(sent, (headers{{"Accept", "*/*"}, {"X-Tenant", "a"}}));
-    add_credentials(node.context(), sent, credentials, boottime_now());
+    add_credentials(sent, credentials);
     for (const http_header& header : sent) {
         EXPECT_EQ(header.value.find("ka"), std::string::npos) << header.name;
     }
@@ -285,7 +285,7 @@
     public_with_key.is_public = true;
     request_credentials nested;
     nested.extends_running_id = nested.is_nested = true;
-    for (const request_credentials& exempt : {request_credentials(), public_with_key, nested}) {
+    for (request_credentials exempt : {request_credentials(), public_with_key, nested}) {
         EXPECT_FALSE(check_evidence(node.context(), exempt, now));
     }
     keyed.extends_running_id = true;
@@ -296,13 +296,40 @@
     EXPECT_EQ(check_evidence(node.context(), keyed, now + milliseconds(5000)),
               error_kind::configuration_unverified);
     keyed.is_public = true;
+    EXPECT_FALSE(check_evidence(node.context(), keyed, now));
     headers verified{{"X-Tenant", "a"}};
-    add_credentials(node.context(), verified, keyed, now);
+    add_credentials(verified, keyed);
     EXPECT_EQ(header_value(verified, "X-Tenant"), "a");
+    EXPECT_FALSE(check_evidence(node.context(), keyed, now + milliseconds(5000)));
     headers unverified{{"X-Tenant", "a"}};
-    add_credentials(node.context(), unverified, keyed, now + milliseconds(5000));
+    add_credentials(unverified, keyed);
     EXPECT_EQ(header_value(unverified, "X-Tenant"), "") << "a public request, not one of the customer";
     node.enforce(2, keyed_contract({}));
     keyed.is_public = false;
     EXPECT_FALSE(check_evidence(node.context(), keyed, now + milliseconds(5000))) << "no keys are required";
 }
+
+// Guards against a request that is admitted while its evidence is valid and sent without its customer once
+// the evidence has expired.
+TEST(CustomerHeaders, EvidenceIsDecidedOnceForEachAttempt) {
+    tested_node node;
+    node.enforce(1, keyed_contract({{"a", "ka"}}));
+    node.evidence().revoke = milliseconds(5000);
+    const boot_time now = boottime_now();
+    record_read(node.evidence(), now, 1, now);
+    headers sent{{"Authorization", "Bearer ka"}};
+    request_credentials credentials;
+    ASSERT_FALSE(authorize_request(node.context(), node.route(0), sent, credentials));
+    boot_time last_valid = now;
+    while (!check_evidence(node.context(), credentials, last_valid + milliseconds(1))) {
+        last_valid += milliseconds(1);
+    }
+    ASSERT_FALSE(check_evidence(node.context(), credentials, last_valid));
+    headers forwarded = sent;
+    add_credentials(forwarded, credentials);
+    EXPECT_EQ(header_value(forwarded, "X-Tenant"), "a");
+    EXPECT_TRUE(check_evidence(node.context(), credentials, last_valid + milliseconds(1)));
+    forwarded = sent;
+    add_credentials(forwarded, credentials);
+    EXPECT_EQ(header_value(forwarded, "X-Tenant"), "") << "a refused request names nobody";
+}
