settings: a link rate that the machine doesn't state is unknown

The template of the deploy file fills in an empty text for a limit that a machine doesn't state. memory_mb and max_fds took that as unknown, as docs/settings.md says; link_mbps refused it, and the node did not start.

Settings.ReadsTheCapacityOfTheMachine has the case; with the old reader it fails with 'must be non-empty text'.

--- a/lib/proxy/settings.cpp
+++ b/lib/proxy/settings.cpp
@@ -81,13 +81,18 @@
     settings.probe_period = read_ms(reader, worker, "probe_period_ms", 100, settings.probe_period);
 }
 
-/// Reads the link rate of the machine, a decimal number of Mbit/s; 0 if it is not stated.
+/// Reads the link rate of the machine, a decimal number of Mbit/s; 0 if it is absent or empty.
 double read_link_rate(yaml_reader& reader, const yaml_value& limits) {
-    const std::string text = reader.text(limits, "link_mbps", false, "0");
+    const yaml_value* stated = reader.child(limits, "link_mbps", false);
+    const bool is_scalar = stated != nullptr && stated->kind == yaml_value::shape::scalar;
+    if (stated == nullptr || (is_scalar && stated->scalar.empty())) {
+        return 0;
+    }
+    const std::string& text = stated->scalar;
     double rate = 0;
     const auto read = std::from_chars(text.data(), text.data() + text.size(), rate);
     if (read.ec != std::errc{} || read.ptr != text.data() + text.size() || !(rate >= 0)) {
-        reader.report(error_kind::wrong_type, *reader.child(limits, "link_mbps", false),
+        reader.report(error_kind::wrong_type, *stated,
                       "'link_mbps' must be a number of megabits per second");
         return 0;
     }
--- a/unittests/proxy/settings_test.cpp
+++ b/unittests/proxy/settings_test.cpp
@@ -58,6 +58,9 @@
     EXPECT_EQ(parsed("limits: {memory_mb: \"160\", max_fds: \"4100\"}\n").memory_mb, 160U);
     EXPECT_EQ(parsed("limits: {memory_mb: \"160.0\", max_fds: \"4100\"}\n").max_fds, 4100U);
     EXPECT_EQ(parsed("limits: {memory_mb: \"\", max_fds: \"\"}\n").memory_mb, node_settings().memory_mb);
+    EXPECT_EQ(parsed("limits: {link_mbps: \"10.5\"}\n").link_mbps, 10.5);
+    EXPECT_EQ(parsed("limits: {link_mbps: \"\"}\n").link_mbps, 0);
+    EXPECT_EQ(faults_of(valid_settings + "limits: {link_mbps: fast}\n").size(), 1U);
     EXPECT_EQ(
         faults_of(valid_settings + "limits: {max_fds: many}\n"),
         std::vector<std::string>{"n.yaml:5:19: out-of-range: 'max_fds' must be a number up to 10000000"});
