pipelining: no request runs behind a response that may break off

Cause: a response over 64 KB is forwarded as it arrives, and one that breaks off can only end the connection. Requests that may run again were sent to their workers at once, whatever stood before them.

Why the fix works: `waits_for_its_turn` holds a request back behind a response that may break off after it has begun: one of a download, or one that is being streamed. Responses of non-idempotent requests, which were streamed from their first byte, are held until they are complete up to the same 64 KB, so that a worker that breaks off costs an error and no connection.

Open: a response over 64 KB on a route that is no download, behind which requests were sent before it grew.

--- a/include/waxwingfall/call/call_decisions.h
+++ b/include/waxwingfall/call/call_decisions.h
@@ -34,6 +34,20 @@
 /// the client is a separate call.
 bool needs_key(const route_contract& route, std::string_view method);
 
+/// The place of a request among those that its client sent on one connection without waiting for responses.
+struct pipeline_position {
+    bool is_first = true;             ///< all responses before its own are complete
+    bool is_behind_uncertain = false; ///< one of them may be broken off after it has begun
+    bool runs_once = false;
+    auto operator<=>(const pipeline_position&) const = default;
+};
+
+/// True if a request must not be sent to a worker before the responses before its own are complete. If one of
+/// them ends the connection, the client sends the request again. A request that runs once must not have run
+/// then, and any other would have run in vain. Only a response that is forwarded before it is complete can do
+/// this.
+bool waits_for_its_turn(const pipeline_position& position);
+
 /// Inputs of `retry_after_s`.
 struct retry_after_inputs {
     milliseconds run_time{0};       ///< expected run time of a call of the service; 0 if unknown
--- a/include/waxwingfall/http/server.h
+++ b/include/waxwingfall/http/server.h
@@ -145,6 +145,13 @@
     /// Closes the connection after this response if no other request was read behind it.
     void close_if_last() { close_if_last_ = true; }
 
+    /// Declares that the response may be broken off after it has begun, which closes the connection and drops
+    /// the responses behind it.
+    void may_break_off() { may_break_off_ = true; }
+
+    /// True if a response before this one on the connection may be broken off.
+    bool is_behind_uncertain() const;
+
     /// True if the client has closed its connection or sent the end of its stream, or if the request was
     /// dropped: refused before it was complete, or behind a response that closes the connection.
     bool is_disconnected() const;
@@ -190,6 +197,7 @@
     bool is_complete_ = false; ///< the request was received completely
     bool wants_close_ = false; ///< the connection ends after this response
     bool close_if_last_ = false;
+    bool may_break_off_ = false;
     bool has_started_ = false;
     bool has_ended_ = false;
     bool is_aborted_ = false;
--- a/include/waxwingfall/proxy/downstream.h
+++ b/include/waxwingfall/proxy/downstream.h
@@ -61,7 +61,14 @@
     /// True if all responses before this one on its connection are complete.
     bool is_first() const { return exchange_->is_first(); }
 
-    /// Calls `action` once when that is the case; not if the connection is closed before.
+    /// Declares that the response may be broken off after it has begun.
+    void may_break_off() { exchange_->may_break_off(); }
+
+    /// True if a response before this one on its connection may be broken off, which would drop this one.
+    bool is_behind_uncertain() const { return exchange_->is_behind_uncertain(); }
+
+    /// Calls `action` once when all responses before this one are complete; not if the connection is closed
+    /// before.
     void when_first(std::function<void()> action) { exchange_->when_first(std::move(action)); }
 
     /// True if the peer has closed its connection, or the response will not be sent.
--- a/lib/call/call_decisions.cpp
+++ b/lib/call/call_decisions.cpp
@@ -61,6 +61,10 @@
            needs_key(route, method);
 }
 
+bool waits_for_its_turn(const pipeline_position& position) {
+    return !position.is_first && (position.runs_once || position.is_behind_uncertain);
+}
+
 double retry_after_s(const retry_after_inputs& inputs, random_source& random) {
     // Slots of a worker are released every 20 to 40 ms, and a client's retry takes two round trips of 16 ms.
     constexpr std::int64_t min_delay_ms = 50;
--- a/lib/http/server_connection.cpp
+++ b/lib/http/server_connection.cpp
@@ -96,6 +96,12 @@
     return !exchanges_.empty() && exchanges_.back().get() == &exchange;
 }
 
+bool server_connection::is_behind_uncertain(const server_exchange& exchange) const {
+    const auto self = std::find_if(exchanges_.begin(), exchanges_.end(),
+                                   [&](const auto& open) { return open.get() == &exchange; });
+    return std::any_of(exchanges_.begin(), self, [](const auto& before) { return before->may_break_off_; });
+}
+
 bool server_connection::has_client_left() const {
     if (peer_closed_ || state_ != state::open) {
         return true;
--- a/lib/http/server_connection.h
+++ b/lib/http/server_connection.h
@@ -56,6 +56,7 @@
     // For exchanges.
     bool is_first(const server_exchange& exchange) const;
     bool is_last(const server_exchange& exchange) const;
+    bool is_behind_uncertain(const server_exchange& exchange) const;
     evbuffer* output() const { return bufferevent_get_output(stream_); }
     bool has_client_left() const;
     /// Reads no more requests and drops those behind `last`.
--- a/lib/http/server_exchange.cpp
+++ b/lib/http/server_exchange.cpp
@@ -68,6 +68,10 @@
     return connection_ != nullptr && connection_->is_first(*this);
 }
 
+bool server_exchange::is_behind_uncertain() const {
+    return connection_ != nullptr && connection_->is_behind_uncertain(*this);
+}
+
 void server_exchange::when_first(std::function<void()> action) {
     on_first_ = std::move(action);
     if (is_first()) {
--- a/lib/proxy/call_attempts.cpp
+++ b/lib/proxy/call_attempts.cpp
@@ -183,13 +183,11 @@
     forwarded.push_back({call_header::version, std::to_string(active.version)});
     active.response_headers = std::move(forwarded);
     active.buffered_body.clear();
-    if (active.non_idempotent) {
-        start_response(active);
-    }
 }
 
 void call_proxy::start_response(call& active) {
     active.response_started = true;
+    active.client->may_break_off();
     active.client->begin(active.status, active.response_headers);
     if (!active.buffered_body.empty()) {
         evbuffer* buffered = evbuffer_new();
@@ -218,7 +216,8 @@
         }
     }
     if (!active.response_started) {
-        // Buffered until it is complete: if the connection to the worker breaks, a retry can still succeed.
+        // Buffered until it is complete: if the connection to the worker breaks, a retry can still succeed,
+        // or an error ends the call without its connection, which other responses may need.
         std::string piece(evbuffer_get_length(data), '\0');
         evbuffer_remove(data, piece.data(), piece.size());
         active.buffered_body += piece;
--- a/lib/proxy/call_proxy.cpp
+++ b/lib/proxy/call_proxy.cpp
@@ -72,8 +72,12 @@
         started.route->timeout_ms != 0 ? started.route->timeout_ms : started.service->timeout_ms;
     started.deadline =
         read_deadline(started.received.request.headers, milliseconds(limit), started.received_at);
-    if (!started.client->is_first() && runs_once(*started.route, started.received.method)) {
-        // A response before this one may end the connection, and the client then sends the request again.
+    started.non_idempotent = runs_once(*started.route, started.received.method);
+    if (started.route->kind == request_kind::download) {
+        started.client->may_break_off();
+    }
+    if (waits_for_its_turn(
+            {started.client->is_first(), started.client->is_behind_uncertain(), started.non_idempotent})) {
         started.client->when_first([this, id] {
             if (calls_.contains(id)) {
                 start(id);
@@ -83,7 +87,6 @@
     }
     const std::string retry = header_value(started.received.request.headers, call_header::retry_attempt);
     started.inside_retry = !retry.empty() && retry != "0";
-    started.non_idempotent = runs_once(*started.route, started.received.method);
     started.max_attempts =
         started.route->max_attempts != 0 ? started.route->max_attempts : started.service->max_attempts;
     started.first_received = started.received_at;
--- a/lib/standin/worker_service.cpp
+++ b/lib/standin/worker_service.cpp
@@ -134,10 +134,13 @@
     if (responses_to_truncate_ > 0) {
         responses_to_truncate_ -= 1;
         evhttp_request* request = finished.request;
-        evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Length", "1000");
+        const std::uint64_t length = finished.bytes > 0 ? finished.bytes : 1000;
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Length",
+                          std::to_string(length).c_str());
         evhttp_send_reply_start(request, 200, "OK");
         evbuffer* partial_body = evbuffer_new();
-        evbuffer_add(partial_body, std::string(500, 'x').data(), 500);
+        const std::string half(length / 2, 'x');
+        evbuffer_add(partial_body, half.data(), half.size());
         evhttp_send_reply_chunk_with_cb(
             request, partial_body,
             [](evhttp_connection* connection, void*) { evhttp_connection_free(connection); }, nullptr);
--- a/unittests/call/policy_test.cpp
+++ b/unittests/call/policy_test.cpp
@@ -172,6 +172,14 @@
     EXPECT_FALSE(runs_once(route, "POST"));
 }
 
+// Guards against responses of workers that are dropped behind a large one that another worker breaks off.
+TEST(RequestKind, RequestsBehindAResponseThatMayBreakOffWait) {
+    EXPECT_FALSE(waits_for_its_turn({true, false, true}));
+    EXPECT_FALSE(waits_for_its_turn({false, false, false}));
+    EXPECT_TRUE(waits_for_its_turn({false, false, true}));
+    EXPECT_TRUE(waits_for_its_turn({false, true, false}));
+}
+
 namespace {
 
 /// The smallest and largest of 200 drawn delays; also checks that they are spread.
