responses: unsigned successes and unknown transfer codings are malformed

Cause: nothing looked for the seal, and the parser takes a body under an unknown transfer coding for one that ends with its connection.

Either ends the attempt as lost, as other malformed heads do. 500 and other failures need no signature.

With the check of the coding or of the signature taken out, Upstream.UnknownTransferCodingIsReportedAsLost or Upstream.SuccessWithoutSignatureIsReportedAsLost fails.

--- a/include/waxwingfall/proxy/settings.h
+++ b/include/waxwingfall/proxy/settings.h
@@ -74,6 +74,8 @@
     std::uint32_t retry_share_percent = 10;
     /// If false, no budget limits the retries; the baseline for measurements.
     bool retry_budget = true;
+    /// Successful responses of the worker without a signature are taken for broken ones.
+    bool signed_responses = false;
     pace_rule pace = pace_rule::slots;
     control_plane_policy control_policy;
     routing_policy routing;
--- a/include/waxwingfall/proxy/upstream.h
+++ b/include/waxwingfall/proxy/upstream.h
@@ -40,6 +40,7 @@
     /// 100-continue`, and the body after `100 Continue`. A final response before that ends the request. 0
     /// sends all bodies at once.
     std::size_t body_after_continue = 0;
+    std::string signature{}; ///< header without which a success is malformed; empty if none is
 };
 
 /// Callbacks for the events of a request, in this order: headers at most once, data any number of times, end
--- a/lib/node/reload.cpp
+++ b/lib/node/reload.cpp
@@ -61,6 +61,7 @@
     setting{"bounds.retry_share", &node_settings::retry_share_percent, reload_effect::immediate},
     setting{"bounds.revoke", &node_settings::revoke, reload_effect::immediate},
     setting{"policy.retry_budget", &node_settings::retry_budget, reload_effect::immediate},
+    setting{"policy.signed_responses", &node_settings::signed_responses, reload_effect::immediate},
     setting{"policy.pace", &node_settings::pace, reload_effect::immediate},
     setting{"policy", &node_settings::source, reload_effect::next_start},
     setting{"policy", &node_settings::control_policy, reload_effect::next_start},
--- a/lib/proxy/inbound_proxy.cpp
+++ b/lib/proxy/inbound_proxy.cpp
@@ -233,6 +233,9 @@
     if (!started.run_id.empty()) {
         options.echo = http_header{platform::header::attempt_id, started.run_id};
     }
+    if (node_.settings.signed_responses) {
+        options.signature = platform::header::signature;
+    }
     started.upstream = worker_.send(node_.settings.worker, sent, options, std::move(callbacks));
 }
 
--- a/lib/proxy/settings.cpp
+++ b/lib/proxy/settings.cpp
@@ -92,8 +92,7 @@
     double rate = 0;
     const auto read = std::from_chars(text.data(), text.data() + text.size(), rate);
     if (read.ec != std::errc{} || read.ptr != text.data() + text.size() || !(rate >= 0)) {
-        reader.report(error_kind::wrong_type, *stated,
-                      "'link_mbps' must be a number of megabits per second");
+        reader.report(error_kind::wrong_type, *stated, "'link_mbps' must be a number of megabits per second");
         return 0;
     }
     return rate;
@@ -159,13 +158,15 @@
 void read_policy(yaml_reader& reader, const yaml_value& policy, node_settings& settings) {
     if (!reader.expect_map(policy, "'policy'",
                            {"prefer", "deltas", "membership_probe_ms", "pick", "retry_budget",
-                            "takeover_delay_ms", "configuration_from", "retry_slack", "pace"})) {
+                            "takeover_delay_ms", "configuration_from", "retry_slack", "pace",
+                            "signed_responses"})) {
         return;
     }
     read_preference(reader, policy, settings.control_policy);
     read_pace(reader, policy, settings);
     settings.control_policy.distribution.use_deltas = reader.flag(policy, "deltas", true);
     settings.retry_budget = reader.flag(policy, "retry_budget", true);
+    settings.signed_responses = reader.flag(policy, "signed_responses", false);
     settings.control_policy.membership.probe_period =
         read_ms(reader, policy, "membership_probe_ms", 50, settings.control_policy.membership.probe_period);
     settings.ledger_map.takeover_delay =
--- a/lib/proxy/upstream.cpp
+++ b/lib/proxy/upstream.cpp
@@ -116,6 +116,7 @@
     connection& conn = *new_request->conn;
     conn.current = id;
     conn.echo = options.echo;
+    conn.signature = options.signature;
     conn.acknowledged = false;
     conn.may_continue = false;
     conn.has_received = false;
--- a/lib/proxy/upstream_connection.cpp
+++ b/lib/proxy/upstream_connection.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr int first_final_status = 200;
+constexpr unsigned first_final_status = 200;
+constexpr unsigned first_redirection_status = 300;
 constexpr int status_continue = 100;
 constexpr int status_switching_protocols = 101;
 constexpr unsigned http_major_version = 1;
@@ -17,13 +18,29 @@
     return *static_cast<upstream_pool::connection*>(parser->data);
 }
 
+/// True if the body is delimited by what the parser knows: a request without TE allows no other transfer
+/// coding than a single `chunked`. The parser would take any other body for one that ends with its
+/// connection.
+bool has_known_transfer_coding(const std::vector<http_header>& headers) {
+    const std::size_t count = count_headers(headers, "Transfer-Encoding");
+    return count == 0 ||
+           (count == 1 && equal_ignoring_case(find_header(headers, "Transfer-Encoding")->value, "chunked"));
+}
+
+/// True if a successful response carries the signature of the worker, where it must.
+bool is_signed_if_needed(const upstream_pool::connection& conn) {
+    const bool is_success =
+        conn.parser.status_code >= first_final_status && conn.parser.status_code < first_redirection_status;
+    return conn.signature.empty() || !is_success || !header_value(conn.headers, conn.signature).empty();
+}
+
 /// True if the head that has been parsed is one of a response to a plain HTTP/1 request. The parser accepts
 /// more than that.
 bool is_valid_head(const http_parser& parser, const std::vector<http_header>& headers) {
     const int status = static_cast<int>(parser.status_code);
     return parser.http_major == http_major_version && is_valid_status(status) &&
            status != status_switching_protocols &&
-           std::all_of(headers.begin(), headers.end(), is_valid_header);
+           std::all_of(headers.begin(), headers.end(), is_valid_header) && has_known_transfer_coding(headers);
 }
 
 int on_begin(http_parser* parser) {
@@ -64,7 +81,8 @@
     // A response to an earlier request may still arrive; the echoed header distinguishes them.
     const bool matches_request =
         !conn.echo || header_value(conn.headers, conn.echo->name) == conn.echo->value;
-    conn.is_current_response = is_final && matches_request;
+    conn.is_malformed = is_final && matches_request && !is_signed_if_needed(conn);
+    conn.is_current_response = is_final && matches_request && !conn.is_malformed;
     conn.headers_ready = conn.is_current_response;
     conn.acknowledged = conn.acknowledged || matches_request || !is_final;
     conn.may_continue = conn.may_continue || parser->status_code == status_continue;
--- a/lib/proxy/upstream_connection.h
+++ b/lib/proxy/upstream_connection.h
@@ -46,6 +46,7 @@
     bool in_value = false;
     std::vector<http_header> headers;
     std::optional<http_header> echo; ///< header that a response to `current` repeats
+    std::string signature;           ///< header that a success must carry; empty if there is none
     milliseconds reuse_limit{0};
     time_point idle_since;
 
--- a/unittests/proxy/upstream_test.cpp
+++ b/unittests/proxy/upstream_test.cpp
@@ -76,7 +76,7 @@
 constexpr milliseconds max_lateness{5000};
 
 send_result send_one(event_loop& loop, const ip_address& address, milliseconds wait = milliseconds(300),
-                     const std::string& body = "x") {
+                     const std::string& body = "x", const std::string& signature = "") {
     upstream_pool pool(loop, milliseconds(1000));
     send_result result;
     upstream_callbacks callbacks;
@@ -86,10 +86,13 @@
         result.end = end;
         result.ends += 1;
     };
+    upstream_options options;
+    options.timeout = milliseconds(5000);
+    options.signature = signature;
     pool.send(
         address,
         {EVHTTP_REQ_POST, "/pay", {{"Host", "h"}, {"Content-Length", std::to_string(body.size())}}, body},
-        {milliseconds(5000), {}, milliseconds(0)}, callbacks);
+        options, callbacks);
     loop.run_for(wait);
     // A request that has not ended yet is late only because this machine is busy.
     for (milliseconds late{0}; result.ends == 0 && late < max_lateness; late += wait) {
@@ -180,6 +183,35 @@
 }
 
 // Guards against heads that are no HTTP response but reach the client as one, with a changed field or body.
+// Guards against a body with its chunk framing, which a client gets as a complete response.
+TEST(Upstream, UnknownTransferCodingIsReportedAsLost) {
+    const auto end_of = [](const std::string& coding) {
+        event_loop loop;
+        const one_shot_worker worker(loop, "HTTP/1.1 200 OK\r\n" + coding + "\r\n4\r\nbody\r\n0\r\n\r\n");
+        return send_one(loop, worker.address(), milliseconds(60)).end;
+    };
+    EXPECT_EQ(end_of("Transfer-Encoding: chunked\r\n"), upstream_end::complete);
+    EXPECT_EQ(end_of("transfer-encoding: Chunked\r\n"), upstream_end::complete);
+    for (const char* other : {"chunkee", "identity", "gzip, chunked", "chunked, chunked", ""}) {
+        EXPECT_EQ(end_of(std::string("Transfer-Encoding: ") + other + "\r\n"), upstream_end::lost) << other;
+    }
+    EXPECT_EQ(end_of("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"), upstream_end::lost);
+}
+
+// Guards against a success without the worker's signature, because a byte of its name was spoiled.
+TEST(Upstream, SuccessWithoutSignatureIsReportedAsLost) {
+    const auto end_of = [](const std::string& head, const std::string& signature) {
+        event_loop loop;
+        const one_shot_worker worker(loop, head + "Content-Length: 4\r\n\r\nbody");
+        return send_one(loop, worker.address(), milliseconds(60), "x", signature).end;
+    };
+    EXPECT_EQ(end_of("HTTP/1.1 200 OK\r\nX-Seal: 1\r\n", "X-Seal"), upstream_end::complete);
+    EXPECT_EQ(end_of("HTTP/1.1 200 OK\r\nX-Sebl: 1\r\n", "X-Seal"), upstream_end::lost);
+    EXPECT_EQ(end_of("HTTP/1.1 200 OK\r\nX-Seal:\r\n", "X-Seal"), upstream_end::lost);
+    EXPECT_EQ(end_of("HTTP/1.1 500 Failed\r\n", "X-Seal"), upstream_end::complete);
+    EXPECT_EQ(end_of("HTTP/1.1 200 OK\r\n", ""), upstream_end::complete);
+}
+
 TEST(Upstream, MalformedHeadIsReportedAsLost) {
     const std::vector<std::string> heads{"HTTP/1.1 000 Nothing\r\n",
                                          "HTTP/1.1 099 Low\r\n",
